Rename the project to sedgestack and move the settings reader into the library

The package is now sedgestack and its adapter sedgestack-simhost. The settings document, names and load reports were the adapter's own; the program on sockets needs the same words, so they move to src/platform.rs, without I/O.

--- a/src/bin/limehoist-drill/main.rs
+++ b/src/bin/sedgestack-simhost/main.rs
@@ -1,4 +1,4 @@
-//! `limehoist-drill`: hosts one `Gateway` per instance and speaks the simulator's line protocol on
+//! `sedgestack-simhost`: hosts one `Gateway` per instance and speaks the simulator's line protocol on
 //! standard input and output. Translates only.
 
 mod wire;
@@ -8,8 +8,9 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use limehoist::{Event, Gateway, Listed, Micros};
-use wire::{Fault, Line, Names};
+use sedgestack::platform::Names;
+use sedgestack::{Event, Gateway, Listed, Micros};
+use wire::{Fault, Line};
 
 /// An instance that came up; `gateway` is `None` once it has been halted.
 struct Instance {
@@ -125,7 +126,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err((line, fault)) => {
-            eprintln!("limehoist-drill: line {line}: {}", fault.0);
+            eprintln!("sedgestack-simhost: line {line}: {}", fault.0);
             ExitCode::FAILURE
         }
     }
--- a/src/bin/limehoist-drill/wire.rs
+++ b/src/bin/sedgestack-simhost/wire.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use base64::{engine::general_purpose::STANDARD, Engine};
-use limehoist::*;
-use serde::Deserialize;
+use sedgestack::platform::{micros, Document, Names};
+use sedgestack::*;
 
 /// What is wrong with a line.
 #[derive(Debug)]
@@ -92,216 +92,11 @@
     }
 }
 
-/// Milliseconds of the wire to whole microseconds.
-fn micros(ms: f64) -> Option<Micros> {
-    let us = (ms * 1000.0).round();
-    (0.0..9.0e15).contains(&us).then_some(us as Micros)
-}
-
-/// Names of an instance's classes and plans, to their place in the settings.
-pub struct Names {
-    classes: BTreeMap<String, usize>,
-    plans: BTreeMap<String, usize>,
-    columns: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Document {
-    caps: Caps,
-    #[serde(default)]
-    discovery: String,
-    family_info: FamilyInfo,
-    granularity_ms: f64,
-    #[serde(default)]
-    locality: String,
-    n_instances: u32,
-    plans: Vec<PlanEntry>,
-    profiles: Vec<Profile>,
-    #[serde(default)]
-    report: Report,
-    rules: Rules,
-    #[serde(default)]
-    self_index: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct Caps {
-    cancel: bool,
-    max_attempts: u32,
-    max_retry_after_ms: f64,
-    peer_messages: bool,
-    probes: bool,
-    retry_after: bool,
-    second_copies: bool,
-}
-
-impl Default for Caps {
-    fn default() -> Self {
-        Caps {
-            cancel: false,
-            max_attempts: 1,
-            max_retry_after_ms: 0.0,
-            peer_messages: false,
-            probes: false,
-            retry_after: false,
-            second_copies: false,
-        }
-    }
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct FamilyInfo {
-    cost_after: bool,
-    count_wait_ms: f64,
-    has_counter: bool,
-    metering_ms: f64,
-    most_units: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct PlanEntry {
-    name: String,
-    #[serde(default)]
-    cap_rate: f64,
-    #[serde(default)]
-    hard_burst: f64,
-    #[serde(default)]
-    most_at_once: f64,
-    #[serde(default)]
-    open: u32,
-    #[serde(default)]
-    overrun_cost: f64,
-    #[serde(default)]
-    rate: f64,
-    #[serde(default)]
-    value_factor: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Profile {
-    name: String,
-    goal_time_ms: f64,
-    deadline_ms: f64,
-    repeat: String,
-    #[serde(default)]
-    key_scope: String,
-    #[serde(default)]
-    window_ms: f64,
-    #[serde(default)]
-    late_value: f64,
-    #[serde(default)]
-    credit: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Report {
-    columns: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Rules {
-    #[serde(default)]
-    ask_every_ms: f64,
-    cold_from: f64,
-    cold_ms: f64,
-    fall_ms: f64,
-    fall_multiple: f64,
-    stop_sending_within_ms: f64,
-}
-
 /// Reads the settings of a `PROVISION` line.
 pub fn settings(line: &Line<'_>) -> Result<(Settings, Names), Fault> {
-    let text = line.text("settings")?;
-    let doc: Document = serde_json::from_str(text).map_err(|e| Fault(format!("settings: {e}")))?;
-    let span =
-        |ms: f64, what: &str| micros(ms).ok_or_else(|| Fault(format!("settings: {what} is not a time")));
-    let mut classes = Vec::new();
-    for p in &doc.profiles {
-        let group = match p.key_scope.as_str() {
-            "zone" => Group::Zone,
-            "cell" => Group::Cell,
-            "all" | "" => Group::All,
-            other => return Err(Fault(format!("settings: keyScope {other} is unknown"))),
-        };
-        let effect = match p.repeat.as_str() {
-            "safe" => Effect::Safe,
-            "keyed" => Effect::Keyed { group, window: span(p.window_ms, "windowMs")? },
-            "unsafe" => Effect::Unsafe,
-            other => return Err(Fault(format!("settings: repeat {other} is unknown"))),
-        };
-        classes.push(Class {
-            name: p.name.clone(),
-            worth: p.credit,
-            aim: span(p.goal_time_ms.min(p.deadline_ms), "goalTimeMs")?,
-            late_share: p.late_value,
-            effect,
-        });
-    }
-    let plans: Vec<Plan> = doc
-        .plans
-        .iter()
-        .map(|p| Plan {
-            name: p.name.clone(),
-            rate: p.rate,
-            burst: p.most_at_once,
-            open_limit: p.open,
-            ceiling_rate: p.cap_rate,
-            ceiling_burst: p.hard_burst,
-            overrun_cost: p.overrun_cost,
-            price: p.value_factor,
-        })
-        .collect();
-    let place = |names: Vec<&String>| names.into_iter().enumerate().map(|(i, n)| (n.clone(), i)).collect();
-    let names = Names {
-        classes: place(doc.profiles.iter().map(|p| &p.name).collect()),
-        plans: place(doc.plans.iter().map(|p| &p.name).collect()),
-        columns: doc.report.columns.clone(),
-    };
-    let discovery = match doc.discovery.as_str() {
-        "ask" => Discovery::Ask { ask_every: span(doc.rules.ask_every_ms, "askEveryMs")? },
-        _ => Discovery::Push,
-    };
-    let settings = Settings {
-        gateway: doc.self_index,
-        gateways: doc.n_instances,
-        zone: doc.locality,
-        tick: span(doc.granularity_ms, "granularityMs")?,
-        classes,
-        plans,
-        discovery,
-        cold: ColdStart {
-            share: doc.rules.cold_from,
-            warm_after: span(doc.rules.cold_ms, "coldMs")?,
-            multiple: doc.rules.fall_multiple,
-            window: span(doc.rules.fall_ms, "fallMs")?,
-        },
-        drain_grace: span(doc.rules.stop_sending_within_ms, "stopSendingWithinMs")?,
-        max_attempts: doc.caps.max_attempts,
-        second_copies: doc.caps.second_copies,
-        cancel: doc.caps.cancel,
-        probes: doc.caps.probes,
-        peer_messages: doc.caps.peer_messages,
-        max_retry_after: if doc.caps.retry_after {
-            span(doc.caps.max_retry_after_ms, "maxRetryAfterMs")?
-        } else {
-            0
-        },
-        counter_timeout: if doc.family_info.has_counter {
-            Some(span(doc.family_info.count_wait_ms, "countWaitMs")?)
-        } else {
-            None
-        },
-        meter_period: span(doc.family_info.metering_ms, "meteringMs")?,
-        settles: doc.family_info.cost_after,
-        max_units: doc.family_info.most_units,
-    };
+    let doc: Document =
+        serde_json::from_str(line.text("settings")?).map_err(|e| Fault(format!("settings: {e}")))?;
+    let (settings, names, _) = doc.decode().map_err(|e| Fault(e.to_string()))?;
     Ok((settings, names))
 }
 
@@ -338,31 +133,15 @@
 }
 
 fn load_report(line: &Line<'_>, names: &Names) -> Result<LoadReport, Fault> {
-    let mut report = LoadReport::default();
-    for pair in line.get("healthInfo").unwrap_or_default().split(',').filter(|p| !p.is_empty() && *p != "-") {
-        let (name, value) =
-            pair.split_once(':').ok_or_else(|| Fault(format!("healthInfo: '{pair}' is not name:value")))?;
-        let value: f64 =
-            value.parse().map_err(|_| Fault(format!("healthInfo: '{value}' is not a number")))?;
-        if !names.columns.iter().any(|c| c == name) {
-            continue;
-        }
-        match name {
-            "queue" => report.queue = Some(value),
-            "inflight" => report.in_flight = Some(value),
-            "util" => report.utilization = Some(value),
-            "latency_ms" => report.latency = micros(value),
-            _ => {}
-        }
-    }
-    Ok(report)
+    let text = line.get("healthInfo").unwrap_or_default();
+    names.load_report(text, ':').map_err(|e| Fault(format!("healthInfo: {e}")))
 }
 
 /// Reads an event line other than `PROVISION` and `HALT`.
 pub fn event(line: &Line<'_>, names: &Names, lists: &BTreeMap<u64, Arc<[Listed]>>) -> Result<Event, Fault> {
-    let place = |of: &BTreeMap<String, usize>, key: &str| -> Result<usize, Fault> {
+    let place = |of: fn(&Names, &str) -> Option<usize>, key: &str| -> Result<usize, Fault> {
         let name = line.text(key)?;
-        of.get(name).copied().ok_or_else(|| Fault(format!("{key}={name} is not in the settings")))
+        of(names, name).ok_or_else(|| Fault(format!("{key}={name} is not in the settings")))
     };
     Ok(match line.name {
         "DISCOVERY" => {
@@ -379,8 +158,8 @@
         }
         "REQ" => Event::Request(Request {
             id: line.int("call")?,
-            class: place(&names.classes, "category")?,
-            plan: place(&names.plans, "terms")?,
+            class: place(Names::class, "category")?,
+            plan: place(Names::plan, "terms")?,
             customer: u64::from_str_radix(line.text("account")?, 16)
                 .map_err(|_| Fault("account is not 16 hex digits".into()))?,
             units: line.or("weight", Line::number, 1.0)?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
 //! Decisions of a gateway that keeps each customer of a shared back end to its plan.
 //!
-//! limehoist does no I/O. A [`Gateway`] is told what happened ([`Event`]) and when, and says what to do
+//! sedgestack does no I/O. A [`Gateway`] is told what happened ([`Event`]) and when, and says what to do
 //! ([`Action`]); sockets, clocks and threads stay with the program that embeds it. The same events give
 //! the same actions. Gateways need not agree on anything: each keeps the rules by itself, and they share
 //! nothing but a quota counter, where there is one.
 //!
 //! ```
-//! use limehoist::*;
+//! use sedgestack::*;
 //!
 //! let settings = Settings {
 //!     gateway: 0,
@@ -70,6 +70,7 @@
 
 mod choice;
 mod interface;
+pub mod platform;
 mod state;
 
 pub use interface::*;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 const SMOKE: &str = include_str!("transcripts/smoke.in");
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_limehoist-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sedgestack-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small world for tests of the module alone.
 #![allow(dead_code)]
 
-use limehoist::*;
+use sedgestack::*;
 
 pub const MS: Micros = 1_000;
 pub const START: Micros = 1_000_000_000;
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use limehoist::*;
+use sedgestack::*;
 
 /// Brings `count` requests at `now`; what is sent, then or as room comes, ends `how.1` later. Returns how
 /// many left at once.
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use limehoist::*;
+use sedgestack::*;
 
 /// Sends `count` requests of plan 1 at `now`, each answered at once; returns how many were sent and the calls made.
 fn burst(g: &mut Gateway, now: Micros, first: RequestId, count: u64) -> (usize, Vec<(CounterName, f64)>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use limehoist::*;
+use sedgestack::*;
 
 #[test]
 fn held_request_is_answered_in_time() {
