Serve the platform's requests on sockets round the decision module

What a broken exchange proves is read off the connection's own count of bytes written, so "could not connect" is said only where the last byte never left.

--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,105 @@
+//! `sedgestack`: one limiter on real sockets round the library's decisions.
+
+mod net;
+
+use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+use sedgestack::Gateway;
+use tokio::sync::{mpsc, watch, Semaphore};
+
+use net::clock::Clock;
+use net::config::{self, Config};
+use net::counter::Counter;
+use net::destination::Fleet;
+use net::metrics::COUNTERS;
+use net::module::{Module, Ties};
+use net::peers::Peers;
+use net::shutdown::{self, Phase};
+use net::{front, list};
+
+/// Room of the module's mailbox and of those of the list, the counter and the peers.
+const MODULE_MAILBOX: usize = 4096;
+const SMALL_MAILBOX: usize = 256;
+
+async fn run(config: Config) -> Result<(), String> {
+    let clock = Clock::start();
+    let gateway =
+        Gateway::new(config.settings.clone(), config.seed).map_err(|e| format!("configuration: {e}"))?;
+    let (module, mailbox) = mpsc::channel(MODULE_MAILBOX);
+    let (lists, changes) = mpsc::channel(SMALL_MAILBOX);
+    let ready = Arc::new(AtomicBool::new(false));
+    let fleet = Arc::new(Fleet {
+        names: config.names.clone(),
+        connect_wait: config::span(config.limits.connect_wait),
+        keepalive: config::span(config.limits.keepalive),
+        sockets: Arc::new(Semaphore::new(config.destination_sockets)),
+        module: module.clone(),
+    });
+
+    let mut counter = None;
+    if let (Some(address), Some(_)) = (config.counter, config.settings.counter_timeout) {
+        let (calls, mailbox) = mpsc::channel(SMALL_MAILBOX);
+        let actor = Counter::new(address, fleet.connect_wait, mailbox, module.clone());
+        tokio::spawn(actor.run());
+        counter = Some(calls);
+    }
+    let mut peers = None;
+    if let (Some(listen), true) = (config.peer_listen, config.settings.peer_messages) {
+        let actor = Peers::bind(listen, config.peers, config.peers_all, config.settings.gateway)
+            .await
+            .map_err(|e| format!("peer_listen: {listen}: {e}"))?;
+        let (messages, mailbox) = mpsc::channel(SMALL_MAILBOX);
+        tokio::spawn(actor.run(mailbox, module.clone()));
+        peers = Some(messages);
+    }
+
+    let version = config.known.version;
+    lists.try_send(config.known).map_err(|_| "the list's mailbox is full")?;
+    tokio::spawn(list::run(config.discovery, version, lists));
+    let ties = Ties {
+        clock,
+        fleet,
+        max_open: config.limits.max_open,
+        max_attempts: config.settings.max_attempts,
+        counter,
+        count_wait: config::span(config.settings.counter_timeout.unwrap_or(0)),
+        peers,
+        ready: ready.clone(),
+    };
+    let decisions = tokio::spawn(Module::new(gateway, ties).run(changes, mailbox));
+
+    let (phase, stopping) = watch::channel(Phase::Serving);
+    let front = front::Front::new(config.names, &config.settings, ready, stopping, module);
+    tokio::select! {
+        served = front::serve(config.listen, config.front_sockets, front) => {
+            served.map_err(|e| format!("listen: {}: {e}", config.listen))
+        }
+        told = shutdown::follow(phase, config::span(config.limits.longest_deadline)) => {
+            told.map_err(|e| format!("signals: {e}"))
+        }
+        ended = decisions => Err(format!("the module ended: {ended:?}")),
+    }
+}
+
+fn main() -> ExitCode {
+    let config = match config::read() {
+        Ok(config) => config,
+        Err(e) => {
+            eprintln!("sedgestack: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let name = config.name.clone();
+    let ended = runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(run(config)));
+    eprintln!("{COUNTERS}");
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("sedgestack: {name}: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,131 @@
+//! The configuration: the only reader of the environment and of the file it names.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sedgestack::platform::{Document, Limits, Names};
+use sedgestack::Settings;
+use serde::Deserialize;
+
+use super::list::{Change, WireList};
+
+/// Descriptors kept free of front and destination sockets: the list, the counter, peers, the runtime.
+const RESERVED_SOCKETS: usize = 64;
+/// Least descriptors that the program can work with.
+const LEAST_SOCKETS: usize = 96;
+
+/// Everything the program is told at its start.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
+    pub seed: u64,
+    pub front_sockets: usize,
+    pub destination_sockets: usize,
+    pub known: Change,
+    pub settings: Settings,
+    pub names: Names,
+    pub limits: Limits,
+}
+
+/// What is wrong with the configuration; the text names the faulty key.
+#[derive(Debug)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}", self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: MachineLimits,
+    counter: Option<SocketAddr>,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    #[serde(default)]
+    known: WireList,
+    settings: Document,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct MachineLimits {
+    sockets: usize,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        MachineLimits { sockets: 1024 }
+    }
+}
+
+/// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` go before its keys.
+pub fn read() -> Result<Config, ConfigError> {
+    let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+    let path = variable("LB_CONFIG").ok_or_else(|| ConfigError("LB_CONFIG is not set".into()))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("LB_CONFIG: {path}: {e}")))?;
+    decode(&text, &variable)
+}
+
+fn decode(text: &str, variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let file: File = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| ConfigError(format!("{}: {}", e.path(), e.inner())))?;
+    let address = |name: &str, key: &str, in_file: Option<SocketAddr>| match variable(name) {
+        Some(text) => text.parse().map_err(|_| ConfigError(format!("{name}: '{text}' is not an address"))),
+        None => in_file.ok_or_else(|| ConfigError(format!("{name} is not set and key {key} is missing"))),
+    };
+    let seed = u64::from_str_radix(&file.seed, 16).ok().filter(|_| !file.seed.is_empty());
+    let seed = match (seed, file.seed.is_empty()) {
+        (Some(seed), _) => seed,
+        (None, true) => std::process::id().into(),
+        (None, false) => return Err(ConfigError(format!("seed: '{}' is not a hex number", file.seed))),
+    };
+    if file.limits.sockets < LEAST_SOCKETS {
+        let least = format!("limits.sockets: {} is under {LEAST_SOCKETS}", file.limits.sockets);
+        return Err(ConfigError(least));
+    }
+    let half = (file.limits.sockets - RESERVED_SOCKETS) / 2;
+    let (settings, names, limits) = file.settings.decode().map_err(|e| ConfigError(e.to_string()))?;
+    if settings.counter_timeout.is_some() && file.counter.is_none() {
+        return Err(ConfigError("counter is missing, and settings.familyInfo.hasCounter is true".into()));
+    }
+    Ok(Config {
+        name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "sedgestack".into()),
+        listen: address("LB_LISTEN", "listen", file.listen)?,
+        discovery: address("LB_DISCOVERY", "discovery", file.discovery)?,
+        counter: file.counter,
+        peer_listen: file.peer_listen,
+        peers: file.peers,
+        peers_all: file.peers_all,
+        seed,
+        front_sockets: half,
+        destination_sockets: half,
+        known: file.known.into(),
+        settings,
+        names,
+        limits,
+    })
+}
+
+/// A span of the settings as the runtime counts it.
+pub fn span(micros: sedgestack::Micros) -> Duration {
+    Duration::from_micros(micros)
+}
--- /dev/null
+++ b/src/net/destination.rs
@@ -0,0 +1,526 @@
+//! The actor of one destination: its route steps, its pool of connections, its probes.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use axum::http::uri::{Authority, PathAndQuery, Scheme};
+use axum::http::{header, Extensions, HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri};
+use bytes::Bytes;
+use futures_util::future::{abortable, AbortHandle, Aborted};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection, Connected, Connection};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use sedgestack::platform::Names;
+use sedgestack::{BackendId, LoadReport, Outcome, RequestId};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout_at, Instant};
+
+use super::metrics::COUNTERS;
+use super::module::Mail;
+
+/// The largest body that the platform knows.
+pub const LARGEST_BODY: usize = 64 << 10;
+/// Route steps that may wait in a destination's mailbox.
+const MAILBOX: usize = 1024;
+/// Idle connections are retired after this part of the time at which the other side closes them.
+const RETIRE: u32 = 3;
+
+const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const X_DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+const X_NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+const X_LOAD: HeaderName = HeaderName::from_static("x-load");
+const X_METER: HeaderName = HeaderName::from_static("x-meter");
+const X_SETTLED: HeaderName = HeaderName::from_static("x-settled");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// What passes on unchanged from a client's request to a destination.
+#[derive(Debug)]
+pub struct Forward {
+    pub method: Method,
+    pub path: PathAndQuery,
+    pub id: HeaderValue,
+    pub key: Option<HeaderValue>,
+    pub body: Bytes,
+}
+
+/// One attempt at a request.
+pub struct RouteStep {
+    pub request: RequestId,
+    pub attempt: u32,
+    pub forward: Arc<Forward>,
+    pub begun: Instant,
+    pub deadline: Instant,
+}
+
+/// What a destination is asked to do.
+pub enum Order {
+    Step(RouteStep),
+    Cancel { request: RequestId, attempt: u32 },
+    Probe { begun: Instant, deadline: Instant },
+}
+
+/// How a route step ended.
+#[derive(Debug)]
+pub struct StepEnd {
+    pub request: RequestId,
+    pub attempt: u32,
+    pub outcome: Outcome,
+    pub latency: Duration,
+    /// The body of a 200 answer.
+    pub body: Option<Bytes>,
+    pub report: LoadReport,
+    pub metered: Option<f64>,
+    pub cost: Option<f64>,
+}
+
+impl StepEnd {
+    /// An end without an answer.
+    pub fn bare(request: RequestId, attempt: u32, outcome: Outcome, latency: Duration) -> StepEnd {
+        let report = LoadReport::default();
+        StepEnd { request, attempt, outcome, latency, body: None, report, metered: None, cost: None }
+    }
+}
+
+/// What all destinations share.
+pub struct Fleet {
+    pub names: Names,
+    pub connect_wait: Duration,
+    pub keepalive: Duration,
+    /// Descriptors for connections to destinations.
+    pub sockets: Arc<Semaphore>,
+    pub module: mpsc::Sender<Mail>,
+}
+
+/// The module's hold on a destination's actor; once dropped, the actor finishes what it has and ends.
+pub struct Handle {
+    pub addr: SocketAddr,
+    orders: mpsc::Sender<Order>,
+    closed: Arc<AtomicBool>,
+}
+
+impl Handle {
+    /// Starts a destination's actor.
+    pub fn start(backend: BackendId, addr: SocketAddr, fleet: Arc<Fleet>) -> Handle {
+        let (orders, mailbox) = mpsc::channel(MAILBOX);
+        let closed = Arc::new(AtomicBool::new(false));
+        let dialer = Dialer { addr, closed: closed.clone(), fleet: fleet.clone() };
+        tokio::spawn(Destination::new(backend, dialer, fleet).run(mailbox));
+        Handle { addr, orders, closed }
+    }
+
+    /// From now on no first byte of a request is written there; what is under way goes on.
+    pub fn close(&self) {
+        self.closed.store(true, Relaxed);
+    }
+
+    /// Puts an order into the mailbox, without waiting; false if there is no room.
+    pub fn order(&self, order: Order) -> bool {
+        self.orders.try_send(order).is_ok()
+    }
+}
+
+/// How far the exchange on a connection has come, as seen on its socket.
+#[derive(Debug, Default)]
+struct Wire {
+    /// Requests of which a byte was written, and answers whose head was read.
+    started: AtomicU64,
+    answered: AtomicU64,
+    /// Of the request under way: how much of the blank line after its head has come, and body bytes.
+    head: AtomicU64,
+    body: AtomicU64,
+    /// An answer came before its request was whole: the counts tell nothing any more.
+    doubtful: AtomicBool,
+}
+
+/// Length of the blank line that ends a head, with the line break before it.
+const BLANK: u64 = 4;
+
+impl Wire {
+    fn between_requests(&self) -> bool {
+        self.started.load(Relaxed) == self.answered.load(Relaxed)
+    }
+
+    fn whole(&self, body: usize) -> bool {
+        self.head.load(Relaxed) == BLANK && self.body.load(Relaxed) >= body as u64
+    }
+
+    /// Counts bytes that the socket took.
+    fn wrote(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.between_requests() {
+            self.started.fetch_add(1, Relaxed);
+            self.head.store(0, Relaxed);
+            self.body.store(0, Relaxed);
+        }
+        let mut seen = self.head.load(Relaxed);
+        let mut rest = bytes;
+        while let (Some((byte, after)), true) = (rest.split_first(), seen < BLANK) {
+            let expected = if seen % 2 == 0 { b'\r' } else { b'\n' };
+            seen = match *byte {
+                b if b == expected => seen + 1,
+                b'\r' => 1,
+                _ => 0,
+            };
+            rest = after;
+        }
+        self.head.store(seen, Relaxed);
+        self.body.fetch_add(rest.len() as u64, Relaxed);
+    }
+
+    /// The head of an answer to a request with such a body was read.
+    fn answered(&self, body: usize) {
+        if !self.whole(body) {
+            self.doubtful.store(true, Relaxed);
+        }
+        self.answered.store(self.started.load(Relaxed), Relaxed);
+    }
+
+    /// What an exchange that broke off proves of a request with such a body.
+    fn broke(&self, body: usize) -> Outcome {
+        let never = self.between_requests() || !self.whole(body);
+        if never && !self.doubtful.load(Relaxed) {
+            Outcome::ConnectFailed
+        } else {
+            Outcome::Reset
+        }
+    }
+}
+
+/// A connection to a destination that counts what is written.
+struct Counted {
+    inner: TokioIo<TcpStream>,
+    wire: Arc<Wire>,
+    closed: Arc<AtomicBool>,
+    _descriptor: OwnedSemaphorePermit,
+}
+
+impl Counted {
+    /// Guards drains: a request that waited for its connection while the destination began to drain must
+    /// not begin to be written. Its route step ends as never sent.
+    fn may_write(&self) -> io::Result<()> {
+        if self.closed.load(Relaxed) && self.wire.between_requests() {
+            return Err(io::Error::other("the destination drains"));
+        }
+        Ok(())
+    }
+}
+
+impl Read for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl Write for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.may_write()?;
+        let done = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(count)) = done {
+            self.wire.wrote(&buf[..count]);
+        }
+        done
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.may_write()?;
+        let done = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        if let Poll::Ready(Ok(mut count)) = done {
+            for buf in bufs {
+                let taken = count.min(buf.len());
+                self.wire.wrote(&buf[..taken]);
+                count -= taken;
+            }
+        }
+        done
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+impl Connection for Counted {
+    fn connected(&self) -> Connected {
+        Connected::new().extra(self.wire.clone())
+    }
+}
+
+/// Opens connections to one destination.
+#[derive(Clone)]
+struct Dialer {
+    addr: SocketAddr,
+    closed: Arc<AtomicBool>,
+    fleet: Arc<Fleet>,
+}
+
+impl Dialer {
+    async fn dial(self) -> io::Result<Counted> {
+        let deadline = Instant::now() + self.fleet.connect_wait;
+        let descriptor = self.fleet.sockets.clone().try_acquire_owned().map_err(io::Error::other)?;
+        let stream = timeout_at(deadline, TcpStream::connect(self.addr)).await??;
+        stream.set_nodelay(true)?;
+        let inner = TokioIo::new(stream);
+        Ok(Counted { inner, wire: Arc::default(), closed: self.closed, _descriptor: descriptor })
+    }
+}
+
+impl tower_service::Service<Uri> for Dialer {
+    type Response = Counted;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<Counted>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: Uri) -> Self::Future {
+        COUNTERS.dials.one();
+        let dial = self.clone().dial();
+        Box::pin(async move { dial.await.inspect_err(|_| COUNTERS.dials_failed.one()) })
+    }
+}
+
+type Pool = Client<Dialer, Full<Bytes>>;
+type Step = Pin<Box<dyn Future<Output = ((RequestId, u32), Instant, Result<StepEnd, Aborted>)> + Send>>;
+type Probe = Pin<Box<dyn Future<Output = (Instant, Outcome, LoadReport)> + Send>>;
+
+struct Destination {
+    backend: BackendId,
+    pool: Pool,
+    authority: Authority,
+    closed: Arc<AtomicBool>,
+    fleet: Arc<Fleet>,
+    steps: FuturesUnordered<Step>,
+    cancels: HashMap<(RequestId, u32), AbortHandle>,
+    probes: FuturesUnordered<Probe>,
+}
+
+impl Destination {
+    fn new(backend: BackendId, dialer: Dialer, fleet: Arc<Fleet>) -> Destination {
+        let authority = dialer.addr.to_string().try_into().expect("an address is an authority");
+        let closed = dialer.closed.clone();
+        // Spare connections: where one becomes free while another is dialled, the client goes on with the
+        // dial and keeps it. It is used by the next step or retired; `dials` against `steps` shows them.
+        let pool = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(fleet.keepalive / RETIRE)
+            .retry_canceled_requests(false)
+            .build(dialer);
+        Destination {
+            backend,
+            pool,
+            authority,
+            closed,
+            fleet,
+            steps: FuturesUnordered::new(),
+            cancels: HashMap::new(),
+            probes: FuturesUnordered::new(),
+        }
+    }
+
+    async fn run(mut self, mut mailbox: mpsc::Receiver<Order>) {
+        let mut open = true;
+        while open || !self.steps.is_empty() || !self.probes.is_empty() {
+            tokio::select! {
+                order = mailbox.recv(), if open => match order {
+                    Some(order) => self.take(order),
+                    None => open = false,
+                },
+                Some((key, begun, end)) = self.steps.next(), if !self.steps.is_empty() => {
+                    self.cancels.remove(&key);
+                    let canceled = |_| StepEnd::bare(key.0, key.1, Outcome::Canceled, begun.elapsed());
+                    tell(&self.fleet.module, end.unwrap_or_else(canceled)).await;
+                }
+                Some((begun, outcome, report)) = self.probes.next(), if !self.probes.is_empty() => {
+                    let (backend, latency) = (self.backend.clone(), begun.elapsed());
+                    let _ = self.fleet.module.send(Mail::Probed { backend, outcome, latency, report }).await;
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, order: Order) {
+        match order {
+            Order::Step(step) => {
+                COUNTERS.steps.one();
+                let (key, begun) = ((step.request, step.attempt), step.begun);
+                let (work, cancel) = abortable(self.step(step));
+                self.cancels.insert(key, cancel);
+                self.steps.push(Box::pin(async move { (key, begun, work.await) }));
+            }
+            Order::Cancel { request, attempt } => {
+                if let Some(cancel) = self.cancels.get(&(request, attempt)) {
+                    cancel.abort();
+                }
+            }
+            Order::Probe { begun, deadline } => {
+                COUNTERS.probes.one();
+                let probe = self.probe(deadline);
+                self.probes.push(Box::pin(async move {
+                    let (outcome, report) = probe.await;
+                    (begun, outcome, report)
+                }));
+            }
+        }
+    }
+
+    fn uri(&self, path: PathAndQuery) -> Uri {
+        let mut parts = axum::http::uri::Parts::default();
+        parts.scheme = Some(Scheme::HTTP);
+        parts.authority = Some(self.authority.clone());
+        parts.path_and_query = Some(path);
+        Uri::from_parts(parts).expect("scheme, authority and path make an address")
+    }
+
+    /// One attempt, from finding a connection to the answer's last byte. Its deadline, and a cancel, drop
+    /// the exchange, and the client closes a connection whose exchange was dropped.
+    fn step(&self, step: RouteStep) -> impl Future<Output = StepEnd> + Send + 'static {
+        let forward = step.forward.clone();
+        let mut request = Request::new(Full::new(forward.body.clone()));
+        *request.method_mut() = forward.method.clone();
+        *request.uri_mut() = self.uri(forward.path.clone());
+        let headers = request.headers_mut();
+        headers.insert(X_REQUEST_ID, forward.id.clone());
+        if let Some(key) = &forward.key {
+            headers.insert(IDEMPOTENCY_KEY, key.clone());
+        }
+        let left = step.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+        headers.insert(X_DEADLINE_MS, HeaderValue::from(left));
+        if forward.method != Method::GET {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
+        }
+        let (pool, fleet, closed) = (self.pool.clone(), self.fleet.clone(), self.closed.clone());
+        async move {
+            let mut end = StepEnd::bare(step.request, step.attempt, Outcome::NotSent, Duration::ZERO);
+            // Guards drains: a step may have waited in the mailbox while its destination began to drain.
+            if !closed.load(Relaxed) {
+                let used = capture_connection(&mut request);
+                let body = forward.body.len();
+                let exchange = exchange(&pool, request, &used, body, &fleet.names, &mut end);
+                end.outcome = match timeout_at(step.deadline, exchange).await {
+                    Ok(Outcome::ConnectFailed) if closed.load(Relaxed) => Outcome::NotSent,
+                    Ok(outcome) => outcome,
+                    // Guards repeats: without a connection nothing was written; with one, the client may
+                    // yet write what it holds before it closes.
+                    Err(_) if wire(&used).is_none() => Outcome::ConnectFailed,
+                    Err(_) => Outcome::TimedOut,
+                };
+            }
+            end.latency = step.begun.elapsed();
+            end
+        }
+    }
+
+    fn probe(&self, deadline: Instant) -> impl Future<Output = (Outcome, LoadReport)> + Send + 'static {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = self.uri(PathAndQuery::from_static("/health"));
+        let (pool, fleet) = (self.pool.clone(), self.fleet.clone());
+        async move {
+            match timeout_at(deadline, pool.request(request)).await {
+                Ok(Ok(answer)) => {
+                    let ok = answer.status() == StatusCode::OK;
+                    let outcome = if ok { Outcome::Ok } else { Outcome::Error };
+                    (outcome, report(answer.headers(), &fleet.names))
+                }
+                Ok(Err(_)) => (Outcome::ConnectFailed, LoadReport::default()),
+                Err(_) => (Outcome::TimedOut, LoadReport::default()),
+            }
+        }
+    }
+}
+
+/// Tells the module how a route step ended.
+async fn tell(module: &mpsc::Sender<Mail>, end: StepEnd) {
+    match end.outcome {
+        Outcome::Ok => &COUNTERS.steps_ok,
+        Outcome::Error => &COUNTERS.steps_error,
+        Outcome::Rejected => &COUNTERS.steps_rejected,
+        Outcome::TimedOut => &COUNTERS.steps_timed_out,
+        Outcome::ConnectFailed => &COUNTERS.steps_connect_failed,
+        Outcome::Reset => &COUNTERS.steps_reset,
+        Outcome::Canceled => &COUNTERS.steps_canceled,
+        Outcome::NotSent => &COUNTERS.steps_not_sent,
+    }
+    .one();
+    // The module never waits for a destination, so this wait ends.
+    let _ = module.send(Mail::StepEnded(end)).await;
+}
+
+/// The state of the connection that a request was given, if it was given one.
+fn wire(used: &CaptureConnection) -> Option<Arc<Wire>> {
+    let mut extras = Extensions::new();
+    used.connection_metadata().as_ref()?.get_extras(&mut extras);
+    extras.remove()
+}
+
+async fn exchange(
+    pool: &Pool,
+    request: Request<Full<Bytes>>,
+    used: &CaptureConnection,
+    body: usize,
+    names: &Names,
+    end: &mut StepEnd,
+) -> Outcome {
+    let Ok(answer) = pool.request(request).await else {
+        // Guards repeats: "could not connect" only where the socket did not take the last byte.
+        return wire(used).map_or(Outcome::ConnectFailed, |wire| wire.broke(body));
+    };
+    if let Some(wire) = wire(used) {
+        wire.answered(body);
+    }
+    let (head, content) = answer.into_parts();
+    end.report = report(&head.headers, names);
+    let figure = |name| head.headers.get(name)?.to_str().ok()?.parse::<f64>().ok();
+    end.metered = figure(X_METER).filter(|f| *f >= 1.0).map(|f| (f - 1.0) / 100.0);
+    end.cost = figure(X_SETTLED).filter(|f| *f > 0.0);
+    match Limited::new(content, LARGEST_BODY).collect().await {
+        Ok(content) if head.status == StatusCode::OK => {
+            end.body = Some(content.to_bytes());
+            Outcome::Ok
+        }
+        Ok(_) if turned_away(head.status, &head.headers) => Outcome::Rejected,
+        Ok(_) => Outcome::Error,
+        Err(_) => Outcome::Reset,
+    }
+}
+
+/// Whether an answer proves that the request never ran. Guards repeats: 503 or 504 alone proves nothing.
+fn turned_away(status: StatusCode, headers: &HeaderMap) -> bool {
+    let refused = status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT;
+    refused && headers.get(X_NOT_RUN).is_some_and(|v| v == "1")
+}
+
+/// The load report that an answer carries; one that makes no sense is none.
+fn report(headers: &HeaderMap, names: &Names) -> LoadReport {
+    let text = headers.get(X_LOAD).and_then(|v| v.to_str().ok());
+    text.and_then(|t| names.load_report(t, '=').ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/src/net/list.rs
@@ -0,0 +1,174 @@
+//! The actor that watches discovery and tells the module each change of the pool config.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use sedgestack::{BackendState, Listed};
+use serde::Deserialize;
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+use super::metrics::COUNTERS;
+use crate::say;
+
+/// A watch that says nothing for this long is dead: its empty lines come every 2 s.
+const SILENCE: Duration = Duration::from_secs(5);
+/// Rests between watches that failed, doubled from the first to the last.
+const FIRST_REST: Duration = Duration::from_millis(50);
+const LAST_REST: Duration = Duration::from_secs(1);
+/// A line longer than this is no pool config.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// A pool config as discovery words it: the whole, or the entries that changed.
+#[derive(Deserialize, Default)]
+pub struct WireList {
+    version: u64,
+    full: bool,
+    servers: Vec<WireServer>,
+}
+
+#[derive(Deserialize)]
+struct WireServer {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u32,
+    state: WireState,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Clone, Copy)]
+enum WireState {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// A change of the pool config.
+#[derive(Clone)]
+pub struct Change {
+    pub version: u64,
+    /// The list is whole: what it lacks is gone.
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+/// A destination in the pool config and where to reach it.
+#[derive(Clone)]
+pub struct Entry {
+    pub listed: Listed,
+    pub addr: SocketAddr,
+}
+
+impl From<WireList> for Change {
+    fn from(list: WireList) -> Change {
+        let entry = |s: WireServer| Entry {
+            listed: Listed {
+                backend: s.id.into(),
+                state: match s.state {
+                    WireState::Ready => BackendState::InService,
+                    WireState::Terminating => BackendState::Draining,
+                    WireState::Gone => BackendState::Gone,
+                },
+                zone: s.zone,
+                cell: s.cell,
+                started: s.started_ms.saturating_mul(1000),
+                weight: s.weight,
+            },
+            addr: s.addr,
+        };
+        Change {
+            version: list.version,
+            whole: list.full,
+            entries: list.servers.into_iter().map(entry).collect(),
+        }
+    }
+}
+
+/// The lines of a watch, put together from what arrives.
+#[derive(Default)]
+struct Lines {
+    rest: BytesMut,
+}
+
+impl Lines {
+    /// Takes in bytes and gives the changes that they complete; empty lines are heartbeats.
+    fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Change>, String> {
+        self.rest.extend_from_slice(bytes);
+        let mut changes = Vec::new();
+        while let Some(end) = self.rest.iter().position(|b| *b == b'\n') {
+            let line = self.rest.split_to(end + 1);
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            let list: WireList = serde_json::from_slice(&line).map_err(|e| format!("a line: {e}"))?;
+            changes.push(list.into());
+        }
+        if self.rest.len() > LONGEST_LINE {
+            return Err("a line without end".into());
+        }
+        Ok(changes)
+    }
+}
+
+/// Watches discovery from `version` on, for as long as the module listens.
+pub async fn run(discovery: SocketAddr, mut version: u64, module: mpsc::Sender<Change>) {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(0)
+        .retry_canceled_requests(false)
+        .build(connector);
+    let mut rest = FIRST_REST;
+    while !module.is_closed() {
+        COUNTERS.list_watches.one();
+        let before = version;
+        let Err(why) = watch(&client, discovery, &mut version, &module).await;
+        say!("list: watch from version {before} ended: {why}");
+        rest = if version == before { (rest * 2).min(LAST_REST) } else { FIRST_REST };
+        sleep_until(Instant::now() + rest).await;
+    }
+}
+
+enum Never {}
+
+async fn watch(
+    client: &Client<HttpConnector, Empty<Bytes>>,
+    discovery: SocketAddr,
+    version: &mut u64,
+    module: &mpsc::Sender<Change>,
+) -> Result<Never, String> {
+    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={version}");
+    let uri = uri.parse().map_err(|e| format!("address: {e}"))?;
+    let quiet = |_| "silent".to_string();
+    let answer = timeout_at(Instant::now() + SILENCE, client.get(uri)).await.map_err(quiet)?;
+    let answer = answer.map_err(|e| format!("{e:?}"))?;
+    if answer.status() != hyper::StatusCode::OK {
+        return Err(format!("status {}", answer.status()));
+    }
+    let (mut body, mut lines) = (answer.into_body(), Lines::default());
+    loop {
+        let frame = timeout_at(Instant::now() + SILENCE, body.frame()).await.map_err(quiet)?;
+        let frame = frame.ok_or("closed")?.map_err(|e| e.to_string())?;
+        let Some(bytes) = frame.data_ref() else { continue };
+        for change in lines.feed(bytes)? {
+            *version = change.version;
+            COUNTERS.list_changes.one();
+            module.send(change).await.map_err(|_| "the module has ended")?;
+        }
+    }
+}
--- /dev/null
+++ b/src/net/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters of what the limiter takes in, sends and answers.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// A number that only grows.
+pub struct Count(AtomicU64);
+
+impl Count {
+    pub fn add(&self, n: u64) {
+        self.0.fetch_add(n, Relaxed);
+    }
+
+    pub fn one(&self) {
+        self.add(1);
+    }
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// All counters; printed as `name=value` pairs.
+        pub struct Counters { $($(#[$doc])* pub $name: Count,)* }
+
+        /// The process's counters.
+        pub static COUNTERS: Counters = Counters { $($name: Count(AtomicU64::new(0)),)* };
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("counters:")?;
+                $(write!(f, " {}={}", stringify!($name), self.$name.0.load(Relaxed))?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Front sockets accepted, and accepts that failed.
+    front_accepted,
+    front_accept_failed,
+    /// Requests that went to the module.
+    taken,
+    /// Requests answered before the module saw them: 400, 404, 413, and busy replies for want of room.
+    malformed,
+    unknown_path,
+    too_large,
+    turned_away_full,
+    /// Answers to requests taken.
+    served,
+    busy_replies,
+    failed,
+    /// Answers given because the module's did not come.
+    last_resort,
+    /// Clients that went away before their answer.
+    abandoned,
+    /// Route steps begun, and how they ended.
+    steps,
+    steps_ok,
+    steps_error,
+    steps_rejected,
+    steps_timed_out,
+    steps_connect_failed,
+    steps_reset,
+    steps_canceled,
+    steps_not_sent,
+    /// Connections opened to destinations, and dials that failed.
+    dials,
+    dials_failed,
+    probes,
+    /// Calls to the quota counter, and how they ended.
+    counter_calls,
+    counter_ok,
+    counter_turned_away,
+    counter_timed_out,
+    counter_connect_failed,
+    counter_connects,
+    /// Changes of the list, and watches opened.
+    list_changes,
+    list_watches,
+    peer_sent,
+    peer_received,
+    /// Batches handed to the decisions, and events in them.
+    batches,
+    events,
+}
--- /dev/null
+++ b/src/net/module.rs
@@ -0,0 +1,357 @@
+//! The actor that owns the decisions: it turns mail into events and actions into orders.
+//!
+//! It never waits for anybody: what it hands out goes into mailboxes without waiting, and a mailbox that is
+//! full is an outcome like any other.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sedgestack::{
+    Action, AttemptEnd, BackendId, BackendState, Event, Gateway, Listed, LoadReport, Micros, Outcome,
+    Request, RequestId,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, Instant};
+
+use super::clock::Clock;
+use super::counter;
+use super::destination::{Fleet, Forward, Handle, Order, RouteStep, StepEnd};
+use super::list::Change;
+use super::metrics::COUNTERS;
+use crate::say;
+
+/// Mail handled in one batch at most: a flood must not keep timers waiting.
+const MOST_MAIL: usize = 256;
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// A destination's answer.
+    Served(Bytes),
+    /// A busy reply: trying again after so long is harmless.
+    Busy { retry_after: Micros },
+    /// Failed; it may have run.
+    Failed,
+}
+
+/// A request as a front socket hands it over.
+pub struct Taken {
+    /// What the decisions need; its patience is counted anew from `deadline`.
+    pub request: Request,
+    pub forward: Arc<Forward>,
+    pub deadline: Instant,
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// What arrives in the module's mailbox.
+pub enum Mail {
+    Taken(Taken),
+    Abandoned(RequestId),
+    StepEnded(StepEnd),
+    Probed { backend: BackendId, outcome: Outcome, latency: Duration, report: LoadReport },
+    Counted(counter::Answer),
+    Peer { from: u32, bytes: Vec<u8> },
+}
+
+/// A request taken, until its last route step has ended.
+struct Open {
+    forward: Arc<Forward>,
+    deadline: Instant,
+    /// Gone once the final answer is out, or nobody waits for it.
+    reply: Option<oneshot::Sender<Reply>>,
+    /// Destinations of the route steps, in order, and how many are out.
+    steps: Vec<BackendId>,
+    out: usize,
+}
+
+/// What the module needs of the program around it.
+pub struct Ties {
+    pub clock: Clock,
+    pub fleet: Arc<Fleet>,
+    pub max_open: usize,
+    pub max_attempts: u32,
+    pub counter: Option<mpsc::Sender<counter::Call>>,
+    pub count_wait: Duration,
+    pub peers: Option<mpsc::Sender<Vec<u8>>>,
+    /// Set once a request could be decided.
+    pub ready: Arc<AtomicBool>,
+}
+
+/// The module's actor.
+pub struct Module {
+    gateway: Gateway,
+    ties: Ties,
+    requests: HashMap<RequestId, Open>,
+    destinations: HashMap<BackendId, (Handle, Listed)>,
+    timers: BinaryHeap<Reverse<Micros>>,
+    events: Vec<Event>,
+    /// Ends that were known at once, for the next batch.
+    at_once: Vec<StepEnd>,
+    uncounted: Vec<counter::Answer>,
+}
+
+impl Module {
+    pub fn new(gateway: Gateway, ties: Ties) -> Module {
+        Module {
+            gateway,
+            ties,
+            requests: HashMap::new(),
+            destinations: HashMap::new(),
+            timers: BinaryHeap::new(),
+            events: Vec::new(),
+            at_once: Vec::new(),
+            uncounted: Vec::new(),
+        }
+    }
+
+    /// Runs until the mailbox is closed. Changes of the list go before everything else in a batch, as a
+    /// drain must not wait behind requests.
+    pub async fn run(mut self, mut lists: mpsc::Receiver<Change>, mut mailbox: mpsc::Receiver<Mail>) {
+        let mut mail = Vec::with_capacity(MOST_MAIL);
+        let sleep = sleep_until(Instant::now());
+        tokio::pin!(sleep);
+        loop {
+            let due = self.timers.peek().map(|Reverse(at)| self.ties.clock.instant(*at));
+            if let Some(due) = due.filter(|due| *due != sleep.deadline()) {
+                sleep.as_mut().reset(due);
+            }
+            let waiting = self.at_once.is_empty() && self.uncounted.is_empty();
+            tokio::select! {
+                biased;
+                Some(change) = lists.recv() => self.listed(change),
+                count = mailbox.recv_many(&mut mail, MOST_MAIL) => if count == 0 { return },
+                () = sleep.as_mut(), if due.is_some() => {}
+                () = std::future::ready(()), if !waiting => {}
+            }
+            while let Ok(change) = lists.try_recv() {
+                self.listed(change);
+            }
+            for end in std::mem::take(&mut self.at_once) {
+                self.step_ended(end);
+            }
+            for end in std::mem::take(&mut self.uncounted) {
+                self.counted(end);
+            }
+            mail.drain(..).for_each(|m| self.read(m));
+            self.decide();
+        }
+    }
+
+    fn listed(&mut self, change: Change) {
+        if change.whole {
+            let named = |id: &BackendId| change.entries.iter().any(|e| e.listed.backend == *id);
+            self.destinations.retain(|id, (handle, _)| {
+                let stays = named(id);
+                if !stays {
+                    handle.close();
+                }
+                stays
+            });
+        }
+        for entry in &change.entries {
+            let (id, listed) = (&entry.listed.backend, &entry.listed);
+            let known = self.destinations.get(id);
+            if listed.state != BackendState::InService {
+                if let Some((handle, _)) = known {
+                    handle.close();
+                }
+                if listed.state == BackendState::Gone {
+                    self.destinations.remove(id);
+                    continue;
+                }
+            }
+            // Guards against stale connections: a process that started anew, or stands elsewhere, is met
+            // with none of the connections to the one before; so is one that is back in service.
+            let same = known.is_some_and(|(handle, before)| {
+                let back = before.state != BackendState::InService && listed.state == BackendState::InService;
+                handle.addr == entry.addr && before.started == listed.started && !back
+            });
+            if same {
+                self.destinations.entry(id.clone()).and_modify(|(_, l)| *l = listed.clone());
+            } else {
+                if let Some((old, _)) = known {
+                    old.close();
+                }
+                let handle = Handle::start(id.clone(), entry.addr, self.ties.fleet.clone());
+                if listed.state != BackendState::InService {
+                    handle.close();
+                }
+                self.destinations.insert(id.clone(), (handle, listed.clone()));
+            }
+        }
+        let list = change.entries.into_iter().map(|e| e.listed).collect();
+        self.events.push(Event::Backends { version: change.version, whole: change.whole, list });
+    }
+
+    fn read(&mut self, mail: Mail) {
+        match mail {
+            Mail::Taken(taken) => self.taken(taken),
+            Mail::Abandoned(id) => {
+                if let Some(open) = self.requests.get_mut(&id).filter(|o| o.reply.is_some()) {
+                    COUNTERS.abandoned.one();
+                    open.reply = None;
+                    self.events.push(Event::Abandoned { request: id });
+                    self.tidy(id);
+                }
+            }
+            Mail::StepEnded(end) => self.step_ended(end),
+            Mail::Probed { backend, outcome, latency, report } => {
+                let latency = latency.as_micros() as Micros;
+                self.events.push(Event::ProbeEnded { backend, outcome, latency, report });
+            }
+            Mail::Counted(answer) => self.counted(answer),
+            Mail::Peer { from, bytes } => self.events.push(Event::PeerMessage { from, bytes }),
+        }
+    }
+
+    fn taken(&mut self, taken: Taken) {
+        if self.requests.len() >= self.ties.max_open {
+            COUNTERS.turned_away_full.one();
+            let _ = taken.reply.send(Reply::Busy { retry_after: 0 });
+            return;
+        }
+        COUNTERS.taken.one();
+        let mut request = taken.request;
+        let left = taken.deadline.saturating_duration_since(Instant::now());
+        request.patience = left.as_micros() as Micros;
+        let open = Open {
+            forward: taken.forward,
+            deadline: taken.deadline,
+            reply: Some(taken.reply),
+            steps: Vec::new(),
+            out: 0,
+        };
+        self.requests.insert(request.id, open);
+        self.events.push(Event::Request(request));
+    }
+
+    fn step_ended(&mut self, end: StepEnd) {
+        let Some(open) = self.requests.get_mut(&end.request) else { return };
+        open.out = open.out.saturating_sub(1);
+        if let (Outcome::Ok, Some(body)) = (end.outcome, end.body) {
+            if let Some(reply) = open.reply.take() {
+                COUNTERS.served.one();
+                let _ = reply.send(Reply::Served(body));
+            }
+        }
+        self.events.push(Event::AttemptEnded(AttemptEnd {
+            request: end.request,
+            attempt: end.attempt,
+            outcome: end.outcome,
+            latency: end.latency.as_micros() as Micros,
+            finished: open.reply.is_none(),
+            metered: end.metered,
+            cost: end.cost,
+            report: end.report,
+        }));
+        self.tidy(end.request);
+    }
+
+    fn counted(&mut self, end: counter::Answer) {
+        self.events.push(Event::CounterAnswered { name: end.name, outcome: end.outcome, total: end.total });
+    }
+
+    /// Drops a request that is answered and has no route step out.
+    fn tidy(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|o| o.reply.is_none() && o.out == 0) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn decide(&mut self) {
+        let now = self.ties.clock.now();
+        while self.timers.peek().is_some_and(|Reverse(at)| *at <= now) {
+            self.timers.pop();
+            if !matches!(self.events.last(), Some(Event::Timer)) {
+                self.events.push(Event::Timer);
+            }
+        }
+        if self.events.is_empty() {
+            return;
+        }
+        COUNTERS.batches.one();
+        COUNTERS.events.add(self.events.len() as u64);
+        let events = std::mem::take(&mut self.events);
+        for action in self.gateway.handle(now, &events) {
+            self.act(now, action);
+        }
+        self.events = events;
+        self.events.clear();
+        if !self.ties.ready.load(Relaxed) {
+            let serving = |l: &Listed| l.state == BackendState::InService;
+            let ready = self.destinations.values().any(|(_, listed)| serving(listed));
+            self.ties.ready.store(ready, Relaxed);
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, backend, timeout } => self.send(now, request, backend, timeout),
+            Action::Cancel { request, attempt } => {
+                let step = self.requests.get(&request).and_then(|o| o.steps.get(attempt as usize));
+                if let Some((handle, _)) = step.and_then(|id| self.destinations.get(id)) {
+                    handle.order(Order::Cancel { request, attempt });
+                }
+            }
+            Action::Refuse { request, retry_after } => self.answer(request, Reply::Busy { retry_after }),
+            Action::Fail { request } => self.answer(request, Reply::Failed),
+            Action::Count { name, amount, keep } => {
+                COUNTERS.counter_calls.one();
+                let deadline = self.ties.clock.instant(now) + self.ties.count_wait;
+                let call = counter::Call { name, amount, keep, deadline };
+                let sent = self.ties.counter.as_ref().is_some_and(|c| c.try_send(call).is_ok());
+                if !sent {
+                    let outcome = Outcome::ConnectFailed;
+                    self.uncounted.push(counter::Answer { name, outcome, total: None });
+                }
+            }
+            Action::Probe { backend } => {
+                if let Some((handle, _)) = self.destinations.get(&backend) {
+                    let begun = Instant::now();
+                    handle.order(Order::Probe { begun, deadline: begun + self.ties.fleet.connect_wait });
+                }
+            }
+            // The watch stands from the start and comes back by itself.
+            Action::Subscribe => {}
+            Action::TellPeers { bytes } => {
+                if let Some(peers) = &self.ties.peers {
+                    let _ = peers.try_send(bytes);
+                }
+            }
+            Action::SetTimer { after } => self.timers.push(Reverse(now + after)),
+            Action::Log { text } => say!("module: {text}"),
+        }
+    }
+
+    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, timeout: Option<Micros>) {
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        let attempt = open.steps.len() as u32;
+        open.steps.push(backend.clone());
+        open.out += 1;
+        let begun = self.ties.clock.instant(now);
+        let allowed = timeout.map(|t| begun + Duration::from_micros(t));
+        let deadline = allowed.map_or(open.deadline, |d| d.min(open.deadline));
+        let step = RouteStep { request, attempt, forward: open.forward.clone(), begun, deadline };
+        let may = open.reply.is_some() && attempt < self.ties.max_attempts;
+        let destination = self.destinations.get(&backend).filter(|_| may);
+        if !destination.is_some_and(|(handle, _)| handle.order(Order::Step(step))) {
+            self.at_once.push(StepEnd::bare(request, attempt, Outcome::NotSent, Duration::ZERO));
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, reply: Reply) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if let Some(waiting) = open.reply.take() {
+            match reply {
+                Reply::Busy { .. } => COUNTERS.busy_replies.one(),
+                _ => COUNTERS.failed.one(),
+            }
+            let _ = waiting.send(reply);
+        }
+        self.tidy(id);
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -78,6 +78,8 @@
     pub keepalive: Micros,
     /// Requests that may be open at once.
     pub max_open: usize,
+    /// The longest that a client waits.
+    pub longest_deadline: Micros,
 }
 
 /// The settings as the platform hands them out.
@@ -247,10 +249,12 @@
             _ => Discovery::Push,
         };
         let info = &self.family_info;
+        let longest = self.profiles.iter().map(|p| p.deadline_ms).fold(0.0, f64::max);
         let limits = Limits {
             connect_wait: span(self.caps.connect_timeout_ms, "caps.connectTimeoutMs")?,
             keepalive: span(self.caps.keepalive_ms, "caps.keepaliveMs")?,
             max_open: self.caps.max_open,
+            longest_deadline: span(longest, "profiles: deadlineMs")?,
         };
         let settings = Settings {
             gateway: self.self_index,
