--- a/src/main.rs
+++ b/src/main.rs
@@ -16,7 +16,7 @@
 use net::metrics::COUNTERS;
 use net::module::{Module, Ties};
 use net::peers::Peers;
-use net::shutdown::{self, Phase};
+use net::shutdown::{Phase, Signals};
 use net::{front, list};
 
 /// Room of the module's mailbox and of those of the list, the counter and the peers.
@@ -24,6 +24,7 @@
 const SMALL_MAILBOX: usize = 256;
 
 async fn run(config: Config) -> Result<(), String> {
+    let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let gateway =
         Gateway::new(config.settings.clone(), config.seed).map_err(|e| format!("configuration: {e}"))?;
@@ -76,9 +77,7 @@
         served = front::serve(config.listen, config.front_sockets, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
         }
-        told = shutdown::follow(phase, config::span(config.limits.longest_deadline)) => {
-            told.map_err(|e| format!("signals: {e}"))
-        }
+        () = signals.follow(phase, config::span(config.limits.longest_deadline)) => Ok(()),
         ended = decisions => Err(format!("the module ended: {ended:?}")),
     }
 }
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -102,7 +102,8 @@
     pub module: mpsc::Sender<Mail>,
 }
 
-/// The module's hold on a destination's actor; once dropped, the actor finishes what it has and ends.
+/// The module's hold on a destination's actor; once all are dropped, the actor finishes what it has and ends.
+#[derive(Clone)]
 pub struct Handle {
     pub addr: SocketAddr,
     orders: mpsc::Sender<Order>,
@@ -151,6 +152,12 @@
         self.started.load(Relaxed) == self.answered.load(Relaxed)
     }
 
+    /// Guards drains: a request that waited for its connection while the destination began to drain must
+    /// not begin to be written. Its route step ends as never sent.
+    fn may_write(&self, closed: bool) -> bool {
+        !(closed && self.between_requests())
+    }
+
     fn whole(&self, body: usize) -> bool {
         self.head.load(Relaxed) == BLANK && self.body.load(Relaxed) >= body as u64
     }
@@ -208,13 +215,9 @@
 }
 
 impl Counted {
-    /// Guards drains: a request that waited for its connection while the destination began to drain must
-    /// not begin to be written. Its route step ends as never sent.
-    fn may_write(&self) -> io::Result<()> {
-        if self.closed.load(Relaxed) && self.wire.between_requests() {
-            return Err(io::Error::other("the destination drains"));
-        }
-        Ok(())
+    fn check(&self) -> io::Result<()> {
+        let may = self.wire.may_write(self.closed.load(Relaxed));
+        may.then_some(()).ok_or_else(|| io::Error::other("the destination drains"))
     }
 }
 
@@ -230,7 +233,7 @@
 
 impl Write for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.may_write()?;
+        self.check()?;
         let done = Pin::new(&mut self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = done {
             self.wire.wrote(&buf[..count]);
@@ -243,7 +246,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.may_write()?;
+        self.check()?;
         let done = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
         if let Poll::Ready(Ok(mut count)) = done {
             for buf in bufs {
@@ -524,3 +527,89 @@
     let text = headers.get(X_LOAD).and_then(|v| v.to_str().ok());
     text.and_then(|t| names.load_report(t, '=').ok()).unwrap_or_default()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::fixed;
+    use proptest::prelude::*;
+
+    #[derive(Clone, Debug)]
+    enum Move {
+        /// Writes up to so many bytes of the request under way; a new one with such a body if there is none.
+        Write(usize, usize),
+        Answer,
+        Drain,
+    }
+
+    fn a_move() -> impl Strategy<Value = Move> {
+        prop_oneof![
+            6 => (1usize..80, 0usize..40).prop_map(|(bytes, body)| Move::Write(bytes, body)),
+            2 => Just(Move::Answer),
+            1 => Just(Move::Drain),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(fixed(512))]
+        /// A connection's states against a model that knows each request's bytes.
+        #[test]
+        fn what_a_break_proves_is_what_was_written(moves in prop::collection::vec(a_move(), 1..80)) {
+            let wire = Wire::default();
+            // The request under way, its body's length and how much of it is written; whether it drains.
+            let mut request: Option<(Vec<u8>, usize, usize)> = None;
+            let mut drains = false;
+            for one in moves {
+                match one {
+                    Move::Write(most, body) => {
+                        let begins = request.is_none();
+                        prop_assert_eq!(wire.may_write(drains), !(begins && drains));
+                        if begins && drains {
+                            continue;
+                        }
+                        let (bytes, _, written) = request.get_or_insert_with(|| {
+                            let mut bytes = b"POST /send/1 HTTP/1.1\r\nX-Odd: \r \r\r\n\r\n".to_vec();
+                            bytes.extend(b"\r\n\r\n".iter().cycle().take(body));
+                            (bytes, body, 0)
+                        });
+                        let end = (*written + most).min(bytes.len());
+                        wire.wrote(&bytes[*written..end]);
+                        *written = end;
+                    }
+                    Move::Answer => {
+                        let whole = |r: &mut (Vec<u8>, usize, usize)| r.2 == r.0.len();
+                        if let Some((_, body, _)) = request.take_if(whole) {
+                            wire.answered(body);
+                        }
+                    }
+                    Move::Drain => drains = true,
+                }
+                let (body, ran) = match &request {
+                    Some((bytes, body, written)) => (*body, *written == bytes.len()),
+                    None => (0, false),
+                };
+                let proved = if ran { Outcome::Reset } else { Outcome::ConnectFailed };
+                prop_assert_eq!(wire.broke(body), proved);
+            }
+        }
+    }
+
+    /// After an answer to half a request nothing is proved by counts, so a break may have run.
+    #[test]
+    fn an_early_answer_leaves_no_proof() {
+        let wire = Wire::default();
+        wire.wrote(b"POST /");
+        wire.answered(8);
+        assert_eq!(wire.broke(8), Outcome::Reset);
+    }
+
+    #[test]
+    fn only_a_marked_503_or_504_is_turned_away() {
+        let mut headers = HeaderMap::new();
+        assert!(!turned_away(StatusCode::SERVICE_UNAVAILABLE, &headers));
+        headers.insert(X_NOT_RUN, HeaderValue::from_static("1"));
+        assert!(turned_away(StatusCode::SERVICE_UNAVAILABLE, &headers));
+        assert!(turned_away(StatusCode::GATEWAY_TIMEOUT, &headers));
+        assert!(!turned_away(StatusCode::INTERNAL_SERVER_ERROR, &headers));
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -266,6 +266,7 @@
 /// Accepts front sockets until the program stops, then answers what they brought and returns.
 pub async fn serve(listen: SocketAddr, sockets: usize, front: Front) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
+    say!("front: listening on {}", listener.local_addr()?);
     let room = Arc::new(Semaphore::new(sockets));
     let mut stopping = front.stopping.clone();
     let routes = Router::new().route("/ready", get(ready)).fallback(take).with_state(Arc::new(front));
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -172,3 +172,49 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::fixed;
+    use proptest::prelude::*;
+
+    fn line(version: u64) -> String {
+        let state = ["Ready", "Terminating", "Gone"][version as usize % 3];
+        format!(
+            "{{\"version\":{version},\"full\":false,\"servers\":[{{\"id\":\"s-{version}\",\
+             \"addr\":\"127.0.0.1:80\",\"state\":\"{state}\",\"started_ms\":7,\"new\":1}}]}}\n"
+        )
+    }
+
+    proptest! {
+        #![proptest_config(fixed(256))]
+        /// However a watch is cut into pieces, it tells the same changes in the same order.
+        #[test]
+        fn pieces_make_the_same_changes(beats in prop::collection::vec(any::<bool>(), 1..12),
+                                        cuts in prop::collection::vec(1usize..90, 1..40)) {
+            let texts = beats.iter().enumerate();
+            let text: String = texts.map(|(n, beat)| if *beat { "\n".into() } else { line(n as u64) }).collect();
+            let expected = beats.iter().enumerate().filter(|(_, beat)| !**beat).map(|(n, _)| n as u64);
+            let (mut lines, mut rest, mut versions) = (Lines::default(), text.as_bytes(), Vec::new());
+            for cut in cuts.iter().cycle() {
+                let (piece, after) = rest.split_at((*cut).min(rest.len()));
+                for change in lines.feed(piece).map_err(TestCaseError::fail)? {
+                    prop_assert_eq!(change.entries[0].listed.started, 7_000);
+                    versions.push(change.version);
+                }
+                rest = after;
+                if rest.is_empty() {
+                    break;
+                }
+            }
+            prop_assert_eq!(versions, expected.collect::<Vec<_>>());
+        }
+    }
+
+    #[test]
+    fn a_line_that_is_no_pool_config_ends_the_watch() {
+        assert!(Lines::default().feed(b"{\"version\":1}\n").is_err());
+        assert!(Lines::default().feed(&vec![b'x'; LONGEST_LINE + 1]).is_err());
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,3 +11,10 @@
 pub mod module;
 pub mod peers;
 pub mod shutdown;
+
+/// Settings of the checks by random steps: the same steps at every run.
+#[cfg(test)]
+pub fn fixed(cases: u32) -> proptest::test_runner::Config {
+    let rng_seed = proptest::test_runner::RngSeed::Fixed(20);
+    proptest::test_runner::Config { cases, rng_seed, failure_persistence: None, ..Default::default() }
+}
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -63,8 +63,9 @@
     deadline: Instant,
     /// Gone once the final answer is out, or nobody waits for it.
     reply: Option<oneshot::Sender<Reply>>,
-    /// Destinations of the route steps, in order, and how many are out.
-    steps: Vec<BackendId>,
+    /// Who took the route steps, in order (an actor that was replaced still has its own), and how many are
+    /// out.
+    steps: Vec<Option<Handle>>,
     out: usize,
 }
 
@@ -87,6 +88,7 @@
     ties: Ties,
     requests: HashMap<RequestId, Open>,
     destinations: HashMap<BackendId, (Handle, Listed)>,
+    list_version: u64,
     timers: BinaryHeap<Reverse<Micros>>,
     events: Vec<Event>,
     /// Ends that were known at once, for the next batch.
@@ -101,6 +103,7 @@
             ties,
             requests: HashMap::new(),
             destinations: HashMap::new(),
+            list_version: 0,
             timers: BinaryHeap::new(),
             events: Vec::new(),
             at_once: Vec::new(),
@@ -142,6 +145,11 @@
     }
 
     fn listed(&mut self, change: Change) {
+        // As the decisions do, so that both know the same destinations.
+        if change.version < self.list_version {
+            return;
+        }
+        self.list_version = change.version;
         if change.whole {
             let named = |id: &BackendId| change.entries.iter().any(|e| e.listed.backend == *id);
             self.destinations.retain(|id, (handle, _)| {
@@ -293,7 +301,7 @@
             Action::Send { request, backend, timeout } => self.send(now, request, backend, timeout),
             Action::Cancel { request, attempt } => {
                 let step = self.requests.get(&request).and_then(|o| o.steps.get(attempt as usize));
-                if let Some((handle, _)) = step.and_then(|id| self.destinations.get(id)) {
+                if let Some(Some(handle)) = step {
                     handle.order(Order::Cancel { request, attempt });
                 }
             }
@@ -330,17 +338,17 @@
     fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, timeout: Option<Micros>) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         let attempt = open.steps.len() as u32;
-        open.steps.push(backend.clone());
+        let may = open.reply.is_some() && attempt < self.ties.max_attempts;
+        let handle = self.destinations.get(&backend).filter(|_| may).map(|(handle, _)| handle.clone());
         open.out += 1;
         let begun = self.ties.clock.instant(now);
         let allowed = timeout.map(|t| begun + Duration::from_micros(t));
         let deadline = allowed.map_or(open.deadline, |d| d.min(open.deadline));
         let step = RouteStep { request, attempt, forward: open.forward.clone(), begun, deadline };
-        let may = open.reply.is_some() && attempt < self.ties.max_attempts;
-        let destination = self.destinations.get(&backend).filter(|_| may);
-        if !destination.is_some_and(|(handle, _)| handle.order(Order::Step(step))) {
+        if !handle.as_ref().is_some_and(|h| h.order(Order::Step(step))) {
             self.at_once.push(StepEnd::bare(request, attempt, Outcome::NotSent, Duration::ZERO));
         }
+        open.steps.push(handle);
     }
 
     fn answer(&mut self, id: RequestId, reply: Reply) {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -3,14 +3,14 @@
 use std::io;
 use std::time::Duration;
 
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
 use super::metrics::COUNTERS;
 
-/// Connections go on coming for up to this long after SIGTERM.
-const STILL_COMING: Duration = Duration::from_millis(400);
+/// Connections go on coming for up to 400 ms after SIGTERM; the rest is for one on its way.
+const STILL_COMING: Duration = Duration::from_millis(450);
 /// The platform counts a longest deadline under this as this ...
 const LEAST_LONGEST: Duration = Duration::from_secs(3);
 /// ... and kills no sooner than this after it; what is left of it is for leaving.
@@ -26,22 +26,36 @@
     Closing,
 }
 
-/// Follows the signals. Ends when the program must, even if requests are still open.
-pub async fn follow(phase: watch::Sender<Phase>, longest_deadline: Duration) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut print = signal(SignalKind::user_defined1())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = print.recv() => eprintln!("{COUNTERS}"),
+/// The signals that the program answers to, caught from here on.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    print: Signal,
+}
+
+impl Signals {
+    /// Guards a start: a SIGTERM that comes as soon as the front socket is there must not kill outright.
+    pub fn catch() -> io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            print: signal(SignalKind::user_defined1())?,
+        })
+    }
+
+    /// Follows the signals. Ends when the program must, even if requests are still open.
+    pub async fn follow(mut self, phase: watch::Sender<Phase>, longest_deadline: Duration) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.interrupt.recv() => break,
+                _ = self.print.recv() => eprintln!("{COUNTERS}"),
+            }
         }
+        let told = Instant::now();
+        phase.send_replace(Phase::Stopping);
+        sleep_until(told + STILL_COMING).await;
+        phase.send_replace(Phase::Closing);
+        sleep_until(told + longest_deadline.max(LEAST_LONGEST) + BEFORE_THE_KILL).await;
     }
-    let told = Instant::now();
-    phase.send_replace(Phase::Stopping);
-    sleep_until(told + STILL_COMING).await;
-    phase.send_replace(Phase::Closing);
-    sleep_until(told + longest_deadline.max(LEAST_LONGEST) + BEFORE_THE_KILL).await;
-    Ok(())
 }
