Check route steps on real sockets and the front's answers against models

The front is checked before a mailbox of the test's own: a lost reply, a full mailbox, each answer.

A request held unread is bounded at 64 KiB a front socket.

--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -533,6 +533,8 @@
     use super::*;
     use crate::net::fixed;
     use proptest::prelude::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
 
     #[derive(Clone, Debug)]
     enum Move {
@@ -594,6 +596,194 @@
         }
     }
 
+    /// What a scripted destination does with a request; its name is the request's path.
+    #[derive(Clone, Copy, Debug, PartialEq)]
+    enum Conduct {
+        Serve,
+        TurnAway,
+        PlainBusy,
+        Error,
+        Close,
+        Half,
+        Silent,
+        Cancel,
+    }
+    use Conduct::*;
+
+    impl Conduct {
+        fn answer(self) -> &'static [u8] {
+            match self {
+                Serve => b"HTTP/1.1 200 OK\r\nX-Load: util=0.5\r\nContent-Length: 2\r\n\r\nok",
+                TurnAway => b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                PlainBusy => b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                Error => b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
+                Half => b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
+                Close | Silent | Cancel => b"",
+            }
+        }
+
+        /// The outcome, and whether the connection can be used again.
+        fn proves(self) -> (Outcome, bool) {
+            match self {
+                Serve => (Outcome::Ok, true),
+                TurnAway => (Outcome::Rejected, true),
+                PlainBusy | Error => (Outcome::Error, true),
+                Close | Half => (Outcome::Reset, false),
+                Silent => (Outcome::TimedOut, false),
+                Cancel => (Outcome::Canceled, false),
+            }
+        }
+    }
+
+    /// Accepts connections and tells of each, of each request that came whole, and of each end.
+    async fn script(listener: TcpListener, told: mpsc::UnboundedSender<&'static str>) {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = told.send("accepted");
+            let told = told.clone();
+            tokio::spawn(async move {
+                let (mut text, mut buffer) = (String::new(), [0; 1024]);
+                loop {
+                    match stream.read(&mut buffer).await {
+                        Ok(count) if count > 0 => text += std::str::from_utf8(&buffer[..count]).unwrap(),
+                        _ => break,
+                    }
+                    if !text.ends_with("\r\n\r\nbody") {
+                        continue;
+                    }
+                    let all = [Serve, TurnAway, PlainBusy, Error, Close, Half, Silent, Cancel];
+                    let conduct = all.iter().find(|c| text.starts_with(&format!("POST /{c:?} "))).unwrap();
+                    text.clear();
+                    let _ = told.send("read");
+                    let _ = stream.write_all(conduct.answer()).await;
+                    if matches!(conduct, Close | Half) {
+                        break;
+                    }
+                }
+                drop(stream);
+                let _ = told.send("ended");
+            });
+        }
+    }
+
+    fn a_step(conduct: Conduct, attempt: u32, wait: Duration) -> RouteStep {
+        let forward = Forward {
+            method: Method::POST,
+            path: format!("/{conduct:?}").try_into().unwrap(),
+            id: HeaderValue::from_static("9b1f03aa5c7e2d41"),
+            key: None,
+            body: Bytes::from_static(b"body"),
+        };
+        let begun = Instant::now();
+        RouteStep { request: 1, attempt, forward: Arc::new(forward), begun, deadline: begun + wait }
+    }
+
+    const LONG: Duration = Duration::from_secs(60);
+
+    fn fleet() -> (Arc<Fleet>, mpsc::Receiver<Mail>) {
+        let (module, mail) = mpsc::channel(64);
+        let sockets = Arc::new(Semaphore::new(8));
+        let names = Names::new(["read"], ["small"], ["util"]);
+        (Arc::new(Fleet { names, connect_wait: LONG, keepalive: LONG, sockets, module }), mail)
+    }
+
+    async fn end(mail: &mut mpsc::Receiver<Mail>) -> StepEnd {
+        match mail.recv().await {
+            Some(Mail::StepEnded(end)) => end,
+            _ => panic!("a destination tells how steps ended"),
+        }
+    }
+
+    /// Plays steps one after another; the model knows whether a connection stands.
+    async fn play(conducts: Vec<Conduct>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (told, mut news) = mpsc::unbounded_channel();
+        let served = tokio::spawn(script(listener, told));
+        let (fleet, mut mail) = fleet();
+        let handle = Handle::start("s-1".into(), addr, fleet);
+        let mut stands = false;
+        for (attempt, conduct) in conducts.into_iter().enumerate() {
+            let attempt = attempt as u32;
+            // A deadline can be told from a dial that failed only where no dial is needed.
+            if conduct == Silent && !stands {
+                continue;
+            }
+            let wait = if conduct == Silent { Duration::from_millis(5) } else { LONG };
+            assert!(handle.order(Order::Step(a_step(conduct, attempt, wait))));
+            if !stands {
+                assert_eq!(news.recv().await, Some("accepted"), "{conduct:?}");
+            }
+            assert_eq!(news.recv().await, Some("read"), "{conduct:?}");
+            if conduct == Cancel {
+                handle.order(Order::Cancel { request: 1, attempt });
+            }
+            let end = end(&mut mail).await;
+            let (outcome, again) = conduct.proves();
+            assert_eq!((end.attempt, end.outcome), (attempt, outcome), "{conduct:?}");
+            assert_eq!(end.body.is_some(), conduct == Serve);
+            assert_eq!(end.report.utilization.is_some(), conduct == Serve);
+            // Guards against an attempt that goes on unseen: its connection ends with it.
+            if !again {
+                assert_eq!(news.recv().await, Some("ended"), "{conduct:?}");
+            }
+            stands = again;
+        }
+        handle.close();
+        handle.order(Order::Step(a_step(Serve, 99, LONG)));
+        assert_eq!(end(&mut mail).await.outcome, Outcome::NotSent, "it drains");
+        assert!(news.try_recv().is_err());
+        served.abort();
+    }
+
+    proptest! {
+        #![proptest_config(fixed(48))]
+        /// Route steps on real sockets: each ends as what the destination did proves, on the connection that
+        /// stands or on a new one.
+        #[test]
+        fn steps_end_as_their_destination_did(
+            conducts in prop::collection::vec(
+                prop::sample::select(vec![Serve, Serve, TurnAway, PlainBusy, Error, Close, Half, Silent, Cancel]),
+                1..12,
+            )
+        ) {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(play(conducts));
+        }
+    }
+
+    /// A request that waited for its connection while its destination began to drain is never written.
+    #[tokio::test]
+    async fn a_connection_that_comes_up_in_a_drain_takes_no_request() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (fleet, _mail) = fleet();
+        let closed = Arc::new(AtomicBool::new(false));
+        let addr = listener.local_addr().unwrap();
+        let dialer = Dialer { addr, closed: closed.clone(), fleet: fleet.clone() };
+        let destination = Destination::new("s-1".into(), dialer, fleet);
+        let step = destination.step(a_step(Serve, 0, LONG));
+        tokio::pin!(step);
+        assert!(futures_util::poll!(step.as_mut()).is_pending(), "it dials");
+        closed.store(true, Relaxed);
+        assert_eq!(step.await.outcome, Outcome::NotSent);
+        let (mut stream, _) = listener.accept().await.unwrap();
+        drop(destination);
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0, "nothing was written");
+    }
+
+    /// A destination that never lets a connection come up ends a step as proved never to have run.
+    #[tokio::test]
+    async fn a_dial_that_cannot_be_made_proves_that_nothing_ran() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (fleet, mut mail) = fleet();
+        let all = fleet.sockets.clone().acquire_many_owned(8).await.unwrap();
+        let handle = Handle::start("s-1".into(), listener.local_addr().unwrap(), fleet);
+        handle.order(Order::Step(a_step(Serve, 0, LONG)));
+        assert_eq!(end(&mut mail).await.outcome, Outcome::ConnectFailed, "no descriptor is left");
+        drop((all, listener));
+        handle.order(Order::Step(a_step(Serve, 1, LONG)));
+        assert_eq!(end(&mut mail).await.outcome, Outcome::ConnectFailed, "nobody listens");
+    }
+
     /// After an answer to half a request nothing is proved by counts, so a break may have run.
     #[test]
     fn an_early_answer_leaves_no_proof() {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -37,6 +37,8 @@
 const LAST_RESORT: Duration = Duration::from_millis(4);
 /// A front socket whose next request does not come whole for so long is closed.
 const LONGEST_HEAD: Duration = Duration::from_secs(75);
+/// Bytes of a request held unread at once: bounds memory over all front sockets.
+const LARGEST_HEAD: usize = 64 << 10;
 /// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
 /// Customers are numbers below this.
@@ -263,13 +265,17 @@
     }
 }
 
+fn routes(front: Front) -> Router {
+    Router::new().route("/ready", get(ready)).fallback(take).with_state(Arc::new(front))
+}
+
 /// Accepts front sockets until the program stops, then answers what they brought and returns.
 pub async fn serve(listen: SocketAddr, sockets: usize, front: Front) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     say!("front: listening on {}", listener.local_addr()?);
     let room = Arc::new(Semaphore::new(sockets));
     let mut stopping = front.stopping.clone();
-    let routes = Router::new().route("/ready", get(ready)).fallback(take).with_state(Arc::new(front));
+    let routes = routes(front);
     let (finished, mut all_finished) = mpsc::channel::<()>(1);
     loop {
         let accept = async {
@@ -324,6 +330,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(LONGEST_HEAD)
+            .max_buf_size(LARGEST_HEAD)
             .serve_connection(TokioIo::new(stream), TowerToHyperService::new(routes));
         tokio::pin!(connection);
         let last = if came_late { Phase::Closing } else { Phase::Stopping };
@@ -335,3 +342,99 @@
         let _ = connection.await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tower_service::Service;
+
+    /// The routes before a module of the test's own, whose mailbox holds one letter.
+    fn front() -> (Router, mpsc::Receiver<Mail>, watch::Sender<Phase>) {
+        let (module, mail) = mpsc::channel(1);
+        let (phase, stopping) = watch::channel(Phase::Serving);
+        let names = Names::new(["read"], ["small"], []);
+        let front = Front {
+            names,
+            effects: vec![Effect::Safe],
+            ready: Arc::default(),
+            stopping,
+            module,
+            next: AtomicU64::new(1),
+        };
+        (routes(front), mail, phase)
+    }
+
+    fn request(patience: &str) -> axum::extract::Request {
+        axum::http::Request::get("/read/00000000b4d65521")
+            .header("X-Request-Id", "9b1f03aa5c7e2d41")
+            .header("X-Class", "read")
+            .header("X-Contract", "small")
+            .header("X-Deadline-Ms", patience)
+            .header("X-Metering", "units=2,spread=3,first=1")
+            .body(Body::empty())
+            .expect("a request")
+    }
+
+    fn taken(mail: Option<Mail>) -> Taken {
+        match mail {
+            Some(Mail::Taken(taken)) => taken,
+            _ => panic!("the front hands over a request"),
+        }
+    }
+
+    /// A reply that never comes, or is lost, is made up for before the client gives up.
+    #[tokio::test(start_paused = true)]
+    async fn a_lost_reply_is_made_up_for_in_time() {
+        let (mut routes, mut mail, _phase) = front();
+        let begun = Instant::now();
+        let mut answer = routes.call(request("480"));
+        assert!(futures_util::poll!(&mut answer).is_pending());
+        let kept = taken(mail.recv().await);
+        assert_eq!((kept.request.units, kept.request.spread), (2.0, 3));
+        assert_eq!(answer.await.map(|a| a.status()), Ok(StatusCode::GATEWAY_TIMEOUT));
+        assert!(begun.elapsed() < Duration::from_millis(480));
+        assert!(matches!(mail.recv().await, Some(Mail::Abandoned(id)) if id == kept.request.id));
+
+        let mut answer = routes.call(request("480"));
+        assert!(futures_util::poll!(&mut answer).is_pending());
+        let begun = Instant::now();
+        drop(taken(mail.recv().await).reply);
+        assert_eq!(answer.await.map(|a| a.status()), Ok(StatusCode::GATEWAY_TIMEOUT));
+        assert_eq!(begun.elapsed(), Duration::ZERO, "at once");
+    }
+
+    /// A client that goes away is told of even when the mailbox is full, and a request is then turned away.
+    #[tokio::test]
+    async fn a_full_mailbox_loses_no_news() {
+        let (mut routes, mut mail, _phase) = front();
+        let mut gone = routes.call(request("480"));
+        assert!(futures_util::poll!(&mut gone).is_pending());
+        assert_eq!(routes.call(request("480")).await.map(|a| a.status()), Ok(StatusCode::TOO_MANY_REQUESTS));
+        drop(gone);
+        let id = taken(mail.recv().await).request.id;
+        assert!(matches!(mail.recv().await, Some(Mail::Abandoned(gone)) if gone == id));
+    }
+
+    #[tokio::test]
+    async fn answers_say_what_the_module_decided() {
+        let (mut routes, mut mail, phase) = front();
+        let replies = [
+            (Reply::Served("a report".into()), 200, None),
+            (Reply::Busy { retry_after: 250_000 }, 429, Some("0.250")),
+            (Reply::Busy { retry_after: 0 }, 429, None),
+            (Reply::Failed, 502, None),
+        ];
+        for (reply, status, after) in replies {
+            let mut answer = routes.call(request("480"));
+            assert!(futures_util::poll!(&mut answer).is_pending());
+            taken(mail.recv().await).reply.send(reply).expect("the front waits");
+            let answer = answer.await.expect("an answer");
+            assert_eq!(answer.status().as_u16(), status);
+            let header = |name| answer.headers().get(name).map(|v: &HeaderValue| v.to_str().expect("text"));
+            assert_eq!((header("retry-after"), header("connection")), (after, None));
+        }
+        phase.send_replace(Phase::Stopping);
+        let ready = axum::http::Request::get("/ready").body(Body::empty()).expect("a request");
+        assert_eq!(routes.call(ready).await.map(|a| a.status()), Ok(StatusCode::SERVICE_UNAVAILABLE));
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -36,6 +36,20 @@
 }
 
 impl Names {
+    /// Names in their places.
+    pub fn new<'a>(
+        classes: impl IntoIterator<Item = &'a str>,
+        plans: impl IntoIterator<Item = &'a str>,
+        columns: impl IntoIterator<Item = &'a str>,
+    ) -> Names {
+        let place = |(n, name): (usize, &str)| (name.to_string(), n);
+        Names {
+            classes: classes.into_iter().enumerate().map(place).collect(),
+            plans: plans.into_iter().enumerate().map(place).collect(),
+            columns: columns.into_iter().map(String::from).collect(),
+        }
+    }
+
     /// Place of a class in [`Settings::classes`].
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.get(name).copied()
@@ -239,11 +253,11 @@
             overrun_cost: p.overrun_cost,
             price: p.value_factor,
         };
-        let names = Names {
-            classes: classes.iter().enumerate().map(|(i, c)| (c.name.clone(), i)).collect(),
-            plans: self.plans.iter().enumerate().map(|(i, p)| (p.name.clone(), i)).collect(),
-            columns: self.report.columns,
-        };
+        let names = Names::new(
+            classes.iter().map(|c| c.name.as_str()),
+            self.plans.iter().map(|p| p.name.as_str()),
+            self.report.columns.iter().map(String::as_str),
+        );
         let discovery = match self.discovery.as_str() {
             "ask" => Discovery::Ask { ask_every: span(self.rules.ask_every_ms, "rules.askEveryMs")? },
             _ => Discovery::Push,
