--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -14,6 +14,7 @@
 }
 
 impl Clock {
+    /// Reads the system's clock, this once.
     pub fn start() -> Clock {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { epoch: since.as_micros() as Micros, origin: Instant::now() }
@@ -24,6 +25,7 @@
         self.epoch + instant.saturating_duration_since(self.origin).as_micros() as Micros
     }
 
+    /// What the clock shows now.
     pub fn now(&self) -> Micros {
         self.at(Instant::now())
     }
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -173,6 +173,7 @@
 }
 
 impl Counter {
+    /// An actor for the counter at `address`; a connection that is not up within `connect_wait` has failed.
     pub fn new(
         address: SocketAddr,
         connect_wait: Duration,
@@ -242,17 +243,17 @@
     /// Connects, off the calls' path: who calls meanwhile is told at once. `None` once nobody calls.
     async fn connect(&mut self) -> Option<Result<TcpStream, String>> {
         let deadline = Instant::now() + self.connect_wait;
-        let dial = tokio::spawn(timeout_at(deadline, TcpStream::connect(self.address)));
+        let dial = timeout_at(deadline, TcpStream::connect(self.address));
         tokio::pin!(dial);
         loop {
             tokio::select! {
                 done = &mut dial => return Some(match done {
-                    Ok(Ok(Ok(stream))) => {
+                    Ok(Ok(stream)) => {
                         let _ = stream.set_nodelay(true);
                         Ok(stream)
                     }
-                    Ok(Ok(Err(e))) => Err(e.to_string()),
-                    _ => Err("never came up".into()),
+                    Ok(Err(e)) => Err(e.to_string()),
+                    Err(_) => Err("never came up".into()),
                 }),
                 call = self.mailbox.recv() => {
                     let end = Answer { name: call?.name, outcome: Outcome::ConnectFailed, total: None };
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -22,7 +22,7 @@
 use sedgestack::platform::Names;
 use sedgestack::{Effect, Micros, Request, RequestId, Settings};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::destination::{Forward, LARGEST_BODY};
@@ -55,6 +55,7 @@
 }
 
 impl Front {
+    /// Front sockets for the classes and plans of `settings`, before the mailbox of `module`.
     pub fn new(
         names: Names,
         settings: &Settings,
@@ -295,21 +296,16 @@
                 continue;
             }
         };
-        let connection = connection(stream, routes.clone(), stopping.clone());
-        let finished = finished.clone();
-        tokio::spawn(async move {
-            connection.await;
-            drop((descriptor, finished));
-        });
+        tokio::spawn(connection(
+            stream,
+            routes.clone(),
+            stopping.clone(),
+            (Some(descriptor), finished.clone()),
+        ));
     }
     // What the machine accepted before the listener closes counts as taken too.
     while let Some(Ok((stream, _))) = futures_util::FutureExt::now_or_never(listener.accept()) {
-        let connection = connection(stream, routes.clone(), stopping.clone());
-        let finished = finished.clone();
-        tokio::spawn(async move {
-            connection.await;
-            drop(finished);
-        });
+        tokio::spawn(connection(stream, routes.clone(), stopping.clone(), (None, finished.clone())));
     }
     drop((listener, finished));
     all_finished.recv().await;
@@ -317,16 +313,18 @@
 }
 
 /// Serves one front socket. One that stands idle when the program is told to stop is closed at once, one
-/// that comes later when the listener is.
+/// that comes later when the listener is. `held` is let go with it: its descriptor, its share in the end.
 fn connection(
     stream: TcpStream,
     routes: Router,
     mut stopping: watch::Receiver<Phase>,
+    held: (Option<OwnedSemaphorePermit>, mpsc::Sender<()>),
 ) -> impl Future<Output = ()> + Send + 'static {
     COUNTERS.front_accepted.one();
     let _ = stream.set_nodelay(true);
     let came_late = *stopping.borrow() != Phase::Serving;
     async move {
+        let _held = held;
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(LONGEST_HEAD)
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -5,15 +5,31 @@
 
 const LINES_A_SECOND: u64 = 20;
 
-static SECOND: AtomicU64 = AtomicU64::new(0);
-static LINES: AtomicU64 = AtomicU64::new(0);
+static LOG: Rate = Rate::new();
 
-/// Whether a line may be written now, and how many were left out since the last one that was.
+/// How many lines have been asked for in a second.
+struct Rate {
+    second: AtomicU64,
+    lines: AtomicU64,
+}
+
+impl Rate {
+    const fn new() -> Rate {
+        Rate { second: AtomicU64::new(0), lines: AtomicU64::new(0) }
+    }
+
+    /// Whether a line may be written in this second, and how many were left out in the last one before it.
+    fn admit(&self, second: u64) -> Option<u64> {
+        let same = self.second.swap(second, Relaxed) == second;
+        let before = if same { 0 } else { self.lines.swap(0, Relaxed) };
+        let written = self.lines.fetch_add(1, Relaxed);
+        (written < LINES_A_SECOND).then(|| before.saturating_sub(LINES_A_SECOND))
+    }
+}
+
+/// Whether a line may be written now, and how many were left out before it.
 pub fn admit() -> Option<u64> {
-    let second = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-    let before = if SECOND.swap(second, Relaxed) == second { 0 } else { LINES.swap(0, Relaxed) };
-    let written = LINES.fetch_add(1, Relaxed);
-    (written < LINES_A_SECOND).then(|| before.saturating_sub(LINES_A_SECOND))
+    LOG.admit(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs())
 }
 
 /// Writes a line to the log, unless this second has had its share.
@@ -28,3 +44,18 @@
         }
     };
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_flood_is_cut_and_what_was_cut_is_told() {
+        let rate = Rate::new();
+        let written = (0..50).filter(|_| rate.admit(7) == Some(0)).count() as u64;
+        assert_eq!(written, LINES_A_SECOND);
+        assert_eq!(rate.admit(8), Some(50 - LINES_A_SECOND));
+        assert_eq!(rate.admit(8), Some(0));
+        assert_eq!(rate.admit(9), Some(0));
+    }
+}
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -7,10 +7,12 @@
 pub struct Count(AtomicU64);
 
 impl Count {
+    /// Grows by `n`.
     pub fn add(&self, n: u64) {
         self.0.fetch_add(n, Relaxed);
     }
 
+    /// Grows by one.
     pub fn one(&self) {
         self.add(1);
     }
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -97,6 +97,7 @@
 }
 
 impl Module {
+    /// An actor round a gateway that has just come up.
     pub fn new(gateway: Gateway, ties: Ties) -> Module {
         Module {
             gateway,
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -71,3 +71,35 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Only what a known peer sends within the length goes in, and only what is within it goes out.
+    #[tokio::test]
+    async fn datagrams_are_of_known_peers_and_of_256_bytes_at_most() {
+        let local = || async { UdpSocket::bind("127.0.0.1:0").await.expect("loopback has a port") };
+        let (peer, stranger) = (local().await, local().await);
+        let own: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+        let addresses = vec![own, peer.local_addr().expect("it is bound")];
+        let listen = "127.0.0.1:0".parse().expect("an address");
+        let peers = Peers::bind(listen, addresses, None, 0).await.expect("loopback has a port");
+        let address = peers.socket.local_addr().expect("it is bound");
+        let (messages, mailbox) = mpsc::channel(4);
+        let (module, mut mail) = mpsc::channel(4);
+        tokio::spawn(peers.run(mailbox, module));
+
+        stranger.send_to(b"who", address).await.expect("sent");
+        peer.send_to(&[1; LONGEST + 1], address).await.expect("sent");
+        peer.send_to(&[2; LONGEST], address).await.expect("sent");
+        match mail.recv().await {
+            Some(Mail::Peer { from: 1, bytes }) => assert_eq!(bytes, [2; LONGEST]),
+            _ => panic!("the message of 256 bytes comes first"),
+        }
+        messages.send(vec![3; LONGEST + 1]).await.expect("the actor runs");
+        messages.send(vec![4; 2]).await.expect("the actor runs");
+        let mut buffer = [0; 2 * LONGEST];
+        assert_eq!(peer.recv(&mut buffer).await.expect("received"), 2);
+    }
+}
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -109,6 +109,24 @@
         Destination::start(move |stream| ok(stream, body))
     }
 
+    /// A destination that holds its answers until it is told to give one.
+    pub fn holding() -> (Destination, Sender<()>) {
+        let (release, released) = channel::<()>();
+        let released = Mutex::new(released);
+        let destination = Destination::start(move |stream| {
+            let _ = released.lock().expect("no script panics").recv();
+            ok(stream, "a report");
+        });
+        (destination, release)
+    }
+
+    /// Waits until a request has come whole.
+    pub fn until_asked(&self) {
+        while self.count() == 0 {
+            thread::yield_now();
+        }
+    }
+
     pub fn seen(&self) -> Vec<Message> {
         std::mem::take(&mut self.seen.lock().expect("no script panics"))
     }
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -193,18 +193,11 @@
 
 #[test]
 fn a_client_that_goes_away_is_told_to_the_module() {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(released);
-    let destination = Destination::start(move |stream| {
-        let _ = released.lock().unwrap().recv();
-        ok(stream, "a report");
-    });
+    let (destination, release) = Destination::holding();
     let (mut limiter, _push) = limiter(vec![destination.entry("s-1", "Ready")]);
     let mut client = limiter.connect();
     client.write(&read("large", 1));
-    while destination.count() == 0 {
-        std::thread::yield_now();
-    }
+    destination.until_asked();
     drop(client);
     while !limiter.counters().contains(" abandoned=1 ") {}
     release.send(()).unwrap();
@@ -214,19 +207,12 @@
 
 #[test]
 fn told_to_stop_it_answers_what_it_has_and_leaves() {
-    let (release, released) = channel::<()>();
-    let released = Mutex::new(released);
-    let destination = Destination::start(move |stream| {
-        let _ = released.lock().unwrap().recv();
-        ok(stream, "a report");
-    });
+    let (destination, release) = Destination::holding();
     let (limiter, _push) = limiter(vec![destination.entry("s-1", "Ready")]);
     let (mut busy, mut idle) = (limiter.connect(), limiter.connect());
     assert_eq!(idle.ask("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
     busy.write(&read("large", 1));
-    while destination.count() == 0 {
-        std::thread::yield_now();
-    }
+    destination.until_asked();
     limiter.signal("TERM");
     assert!(idle.answer().is_none(), "an idle front socket is closed");
     release.send(()).unwrap();
