--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! sedgestack does no I/O. A [`Gateway`] is told what happened ([`Event`]) and when, and says what to do
 //! ([`Action`]); sockets, clocks and threads stay with the program that embeds it. The same events give
 //! the same actions. Gateways need not agree on anything: each keeps the rules by itself, and they share
-//! nothing but a quota counter, where there is one.
+//! nothing but a quota counter, where there is one. [`platform`] reads settings as the platform words them.
 //!
 //! ```
 //! use sedgestack::*;
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -299,7 +299,11 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(now, request, backend, timeout),
+            Action::Send { request, backend, timeout } => {
+                let begun = self.ties.clock.instant(now);
+                let deadline = timeout.map(|t| begun + Duration::from_micros(t));
+                self.send(request, backend, begun, deadline);
+            }
             Action::Cancel { request, attempt } => {
                 let step = self.requests.get(&request).and_then(|o| o.steps.get(attempt as usize));
                 if let Some(Some(handle)) = step {
@@ -336,15 +340,14 @@
         }
     }
 
-    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, timeout: Option<Micros>) {
+    /// Hands a route step to its destination; it ends at `deadline`, or at the request's own at the latest.
+    fn send(&mut self, request: RequestId, backend: BackendId, begun: Instant, deadline: Option<Instant>) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         let attempt = open.steps.len() as u32;
         let may = open.reply.is_some() && attempt < self.ties.max_attempts;
         let handle = self.destinations.get(&backend).filter(|_| may).map(|(handle, _)| handle.clone());
         open.out += 1;
-        let begun = self.ties.clock.instant(now);
-        let allowed = timeout.map(|t| begun + Duration::from_micros(t));
-        let deadline = allowed.map_or(open.deadline, |d| d.min(open.deadline));
+        let deadline = deadline.map_or(open.deadline, |d| d.min(open.deadline));
         let step = RouteStep { request, attempt, forward: open.forward.clone(), begun, deadline };
         if !handle.as_ref().is_some_and(|h| h.order(Order::Step(step))) {
             self.at_once.push(StepEnd::bare(request, attempt, Outcome::NotSent, Duration::ZERO));
