Take discovery and the counter anew from the configuration on SIGHUP

Read beside it: LB_DISCOVERY goes before the file, so a move of discovery would have been hidden (config.rs, decode); the list asked from the version of the discovery before (list.rs, run), and the module dropped lower versions (module.rs, listed).

Now: SIGHUP reads the file again through config and checks it whole; a faulty one changes nothing. An address that is new in the file goes before the environment. The former watch stands until the next one has told its first list, asked from 0; a version counts at one discovery only, and the decisions get changes numbered as they come. A drain once told holds across the move until the destination starts anew. The counter's actor serves on the old connection until the new one is up, and waits for the answers that the old one owes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -39,10 +39,11 @@
         module: module.clone(),
     });
 
+    let (moves, addresses) = watch::channel(config.addresses);
     let mut counter = None;
-    if let (Some(address), Some(_)) = (config.counter, config.settings.counter_timeout) {
+    if config.settings.counter_timeout.is_some() {
         let (calls, mailbox) = mpsc::channel(SMALL_MAILBOX);
-        let actor = Counter::new(address, fleet.connect_wait, mailbox, module.clone());
+        let actor = Counter::new(addresses.clone(), fleet.connect_wait, mailbox, module.clone());
         tokio::spawn(actor.run());
         counter = Some(calls);
     }
@@ -58,7 +59,7 @@
 
     let version = config.known.version;
     lists.try_send(config.known).map_err(|_| "the list's mailbox is full")?;
-    tokio::spawn(list::run(config.discovery, version, lists));
+    tokio::spawn(list::run(addresses, version, lists));
     let ties = Ties {
         clock,
         fleet,
@@ -72,12 +73,13 @@
     let decisions = tokio::spawn(Module::new(gateway, ties).run(changes, mailbox));
 
     let (phase, stopping) = watch::channel(Phase::Serving);
+    let longest = config::span(config.limits.longest_deadline);
     let front = front::Front::new(config.names, &config.settings, ready, stopping, module);
     tokio::select! {
         served = front::serve(config.listen, config.front_sockets, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
         }
-        () = signals.follow(phase, config::span(config.limits.longest_deadline)) => Ok(()),
+        () = signals.follow(phase, moves, longest) => Ok(()),
         ended = decisions => Err(format!("the module ended: {ended:?}")),
     }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -19,8 +19,7 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub counter: Option<SocketAddr>,
+    pub addresses: Addresses,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
@@ -33,6 +32,24 @@
     pub limits: Limits,
 }
 
+/// The addresses that a reload may change.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Addresses {
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    /// Discovery as the file names it, whatever the environment says.
+    in_file: Option<SocketAddr>,
+}
+
+impl Addresses {
+    /// These addresses after the file was read again. Guards a move of discovery: the environment of a
+    /// running program can't change, so an address that is new in the file goes before `LB_DISCOVERY`.
+    fn moved(self, read: Addresses) -> Addresses {
+        let new = read.in_file.filter(|_| read.in_file != self.in_file);
+        Addresses { discovery: new.unwrap_or(self.discovery), ..read }
+    }
+}
+
 /// What is wrong with the configuration; the text names the faulty key.
 #[derive(Debug)]
 pub struct ConfigError(String);
@@ -84,6 +101,12 @@
     decode(&text, &variable)
 }
 
+/// Reads the file again and gives the addresses in force from now on. The file is checked whole: a faulty
+/// one changes nothing.
+pub fn reread(now: Addresses) -> Result<Addresses, ConfigError> {
+    Ok(now.moved(read()?.addresses))
+}
+
 fn decode(text: &str, variable: &dyn Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
     let mut json = serde_json::Deserializer::from_str(text);
     let file: File = serde_path_to_error::deserialize(&mut json)
@@ -110,8 +133,11 @@
     Ok(Config {
         name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "sedgestack".into()),
         listen: address("LB_LISTEN", "listen", file.listen)?,
-        discovery: address("LB_DISCOVERY", "discovery", file.discovery)?,
-        counter: file.counter,
+        addresses: Addresses {
+            discovery: address("LB_DISCOVERY", "discovery", file.discovery)?,
+            counter: file.counter,
+            in_file: file.discovery,
+        },
         peer_listen: file.peer_listen,
         peers: file.peers,
         peers_all: file.peers_all,
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -9,9 +9,10 @@
 use sedgestack::{CounterName, Micros, Outcome};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+use super::config::Addresses;
 use super::metrics::COUNTERS;
 use super::module::Mail;
 use crate::say;
@@ -164,23 +165,35 @@
     }
 }
 
+/// How the talk on a connection ended.
+enum Ended {
+    Broke(String),
+    /// A connection to the counter at its next address is up.
+    Moved(TcpStream),
+    /// Nobody calls any more.
+    Over,
+}
+
 /// The counter's actor.
 pub struct Counter {
-    address: SocketAddr,
+    addresses: watch::Receiver<Addresses>,
+    /// Where the counter was last dialled.
+    here: Option<SocketAddr>,
     connect_wait: Duration,
     mailbox: mpsc::Receiver<Call>,
     module: mpsc::Sender<Mail>,
 }
 
 impl Counter {
-    /// An actor for the counter at `address`; a connection that is not up within `connect_wait` has failed.
+    /// An actor for the counter, wherever `addresses` places it; a connection that is not up within
+    /// `connect_wait` has failed.
     pub fn new(
-        address: SocketAddr,
+        addresses: watch::Receiver<Addresses>,
         connect_wait: Duration,
         mailbox: mpsc::Receiver<Call>,
         module: mpsc::Sender<Mail>,
     ) -> Counter {
-        Counter { address, connect_wait, mailbox, module }
+        Counter { addresses, here: None, connect_wait, mailbox, module }
     }
 
     /// Serves calls for as long as the module makes them.
@@ -188,19 +201,22 @@
         let mut rest = FIRST_REST;
         loop {
             let begun = Instant::now();
-            let stream = match self.connect().await {
+            let mut stream = match self.connect().await {
                 Some(stream) => stream,
                 None => return,
             };
-            let why = match stream {
-                Ok(stream) => {
-                    COUNTERS.counter_connects.one();
-                    match self.talk(stream).await {
-                        Some(why) => why,
-                        None => return,
+            let why = loop {
+                match stream {
+                    Err(why) => break why,
+                    Ok(up) => {
+                        COUNTERS.counter_connects.one();
+                        match self.talk(up).await {
+                            Ended::Broke(why) => break why,
+                            Ended::Moved(next) => stream = Ok(next),
+                            Ended::Over => return,
+                        }
                     }
                 }
-                Err(why) => why,
             };
             say!("counter: {why}");
             rest = if begun.elapsed() > LAST_REST { FIRST_REST } else { (rest * 2).min(LAST_REST) };
@@ -210,20 +226,6 @@
         }
     }
 
-    async fn tell(&self, ends: &mut Vec<Answer>) {
-        for end in ends.drain(..) {
-            match end.outcome {
-                Outcome::Ok => &COUNTERS.counter_ok,
-                Outcome::Rejected => &COUNTERS.counter_turned_away,
-                Outcome::ConnectFailed => &COUNTERS.counter_connect_failed,
-                _ => &COUNTERS.counter_timed_out,
-            }
-            .one();
-            // The module never waits for this actor, so this wait ends.
-            let _ = self.module.send(Mail::Counted(end)).await;
-        }
-    }
-
     /// Answers calls with "could not connect" until then; false once nobody calls any more.
     async fn refuse_until(&mut self, until: Instant) -> bool {
         loop {
@@ -231,7 +233,7 @@
                 call = self.mailbox.recv() => match call {
                     Some(call) => {
                         let end = Answer { name: call.name, outcome: Outcome::ConnectFailed, total: None };
-                        self.tell(&mut vec![end]).await;
+                        tell(&self.module, &mut vec![end]).await;
                     }
                     None => return false,
                 },
@@ -243,28 +245,35 @@
     /// Connects, off the calls' path: who calls meanwhile is told at once. `None` once nobody calls.
     async fn connect(&mut self) -> Option<Result<TcpStream, String>> {
         let deadline = Instant::now() + self.connect_wait;
-        let dial = timeout_at(deadline, TcpStream::connect(self.address));
+        self.here = self.addresses.borrow_and_update().counter;
+        let dial = dial(self.here, deadline);
         tokio::pin!(dial);
         loop {
             tokio::select! {
-                done = &mut dial => return Some(match done {
-                    Ok(Ok(stream)) => {
-                        let _ = stream.set_nodelay(true);
-                        Ok(stream)
-                    }
-                    Ok(Err(e)) => Err(e.to_string()),
-                    Err(_) => Err("never came up".into()),
-                }),
+                done = &mut dial => return Some(done),
                 call = self.mailbox.recv() => {
                     let end = Answer { name: call?.name, outcome: Outcome::ConnectFailed, total: None };
-                    self.tell(&mut vec![end]).await;
+                    tell(&self.module, &mut vec![end]).await;
                 }
             }
         }
     }
 
-    /// Speaks on a connection until it breaks, and says why; `None` once nobody calls.
-    async fn talk(&mut self, mut stream: TcpStream) -> Option<String> {
+    /// Speaks on a connection until it breaks or the counter is met at its next address.
+    async fn talk(&mut self, mut stream: TcpStream) -> Ended {
+        let (addresses, here) = (&mut self.addresses, &mut self.here);
+        let next = async {
+            // Nobody can move the counter any more once the sender is gone.
+            while addresses.changed().await.is_ok() {
+                let there = addresses.borrow_and_update().counter;
+                if *here != there {
+                    *here = there;
+                    return dial(there, Instant::now() + self.connect_wait).await;
+                }
+            }
+            std::future::pending().await
+        };
+        tokio::pin!(next);
         let (mut reader, mut writer) = stream.split();
         let mut talk = Talk::new(Instant::now());
         let mut ends = Vec::new();
@@ -273,7 +282,19 @@
             let silent = talk.silent_at();
             let wake = talk.next_deadline().map_or(silent, |d| d.min(silent));
             tokio::select! {
-                call = self.mailbox.recv() => talk.call(call?, Instant::now()),
+                call = self.mailbox.recv() => match call {
+                    Some(call) => talk.call(call, Instant::now()),
+                    None => return Ended::Over,
+                },
+                // Guards calls across a move: this connection serves until the next one is up, and what it
+                // then owes is still waited for.
+                dialled = &mut next => match dialled {
+                    Ok(next) => {
+                        tokio::spawn(finish(stream, talk, self.module.clone()));
+                        return Ended::Moved(next);
+                    }
+                    Err(why) => break why,
+                },
                 wrote = writer.write(&talk.out), if !talk.out.is_empty() => match wrote {
                     Ok(bytes) => talk.wrote(bytes),
                     Err(e) => break e.to_string(),
@@ -296,11 +317,50 @@
                     }
                 }
             }
-            self.tell(&mut ends).await;
+            tell(&self.module, &mut ends).await;
         };
         talk.broken(&mut ends);
-        self.tell(&mut ends).await;
-        Some(why)
+        tell(&self.module, &mut ends).await;
+        Ended::Broke(why)
+    }
+}
+
+async fn dial(address: Option<SocketAddr>, deadline: Instant) -> Result<TcpStream, String> {
+    let address = address.ok_or("it has no address")?;
+    let stream = timeout_at(deadline, TcpStream::connect(address)).await.map_err(|_| "never came up")?;
+    let stream = stream.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+/// Waits for the answers that a connection left for another one still owes, as long as somebody does.
+async fn finish(mut stream: TcpStream, mut talk: Talk, module: mpsc::Sender<Mail>) {
+    let (mut ends, mut input) = (Vec::new(), [0u8; 1024]);
+    while let Some(deadline) = talk.next_deadline() {
+        tokio::select! {
+            read = stream.read(&mut input) => match read {
+                Ok(bytes) if bytes > 0 && talk.feed(&input[..bytes], Instant::now(), &mut ends).is_ok() => {}
+                _ => break,
+            },
+            () = sleep_until(deadline) => talk.give_up(Instant::now(), &mut ends),
+        }
+        tell(&module, &mut ends).await;
+    }
+    talk.broken(&mut ends);
+    tell(&module, &mut ends).await;
+}
+
+async fn tell(module: &mpsc::Sender<Mail>, ends: &mut Vec<Answer>) {
+    for end in ends.drain(..) {
+        match end.outcome {
+            Outcome::Ok => &COUNTERS.counter_ok,
+            Outcome::Rejected => &COUNTERS.counter_turned_away,
+            Outcome::ConnectFailed => &COUNTERS.counter_connect_failed,
+            _ => &COUNTERS.counter_timed_out,
+        }
+        .one();
+        // The module never waits for this actor, so this wait ends.
+        let _ = module.send(Mail::Counted(end)).await;
     }
 }
 
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -10,9 +10,11 @@
 use hyper_util::rt::TokioExecutor;
 use sedgestack::{BackendState, Listed};
 use serde::Deserialize;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
+use super::config::Addresses;
 use super::metrics::COUNTERS;
 use crate::say;
 
@@ -62,6 +64,8 @@
 #[derive(Clone)]
 pub struct Change {
     pub version: u64,
+    /// The first list of a discovery that took the place of another, whose versions don't compare with it.
+    pub moved: bool,
     /// The list is whole: what it lacks is gone.
     pub whole: bool,
     pub entries: Vec<Entry>,
@@ -93,6 +97,7 @@
         };
         Change {
             version: list.version,
+            moved: false,
             whole: list.full,
             entries: list.servers.into_iter().map(entry).collect(),
         }
@@ -125,8 +130,50 @@
     }
 }
 
-/// Watches discovery from `version` on, for as long as the module listens.
-pub async fn run(discovery: SocketAddr, mut version: u64, module: mpsc::Sender<Change>) {
+/// A watch of one discovery; it ends when this is dropped.
+struct Watch(AbortHandle);
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Watch {
+    /// Watches `discovery` from `version` on. The watch that this one `replaces` goes on until this one has
+    /// told its first list. Guards drains: what the former discovery still tells meanwhile is not missed.
+    fn start(
+        discovery: SocketAddr,
+        version: u64,
+        replaces: Option<Watch>,
+        module: mpsc::Sender<Change>,
+    ) -> Watch {
+        Watch(tokio::spawn(follow(discovery, version, replaces, module)).abort_handle())
+    }
+}
+
+/// Watches discovery from `version` on, for as long as the module listens, and moves with its address.
+pub async fn run(mut addresses: watch::Receiver<Addresses>, version: u64, module: mpsc::Sender<Change>) {
+    let mut discovery = addresses.borrow_and_update().discovery;
+    let mut watch = Watch::start(discovery, version, None, module.clone());
+    while addresses.changed().await.is_ok() {
+        let next = addresses.borrow_and_update().discovery;
+        if next != discovery {
+            say!("list: discovery moves from {discovery} to {next}");
+            discovery = next;
+            // A version counts at one discovery only: of another the whole list is asked.
+            watch = Watch::start(discovery, 0, Some(watch), module.clone());
+        }
+    }
+    drop(watch);
+}
+
+async fn follow(
+    discovery: SocketAddr,
+    mut version: u64,
+    mut replaces: Option<Watch>,
+    module: mpsc::Sender<Change>,
+) {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new())
@@ -137,7 +184,7 @@
     while !module.is_closed() {
         COUNTERS.list_watches.one();
         let before = version;
-        let Err(why) = watch(&client, discovery, &mut version, &module).await;
+        let Err(why) = watch_once(&client, discovery, &mut version, &mut replaces, &module).await;
         say!("list: watch from version {before} ended: {why}");
         rest = if version == before { (rest * 2).min(LAST_REST) } else { FIRST_REST };
         sleep_until(Instant::now() + rest).await;
@@ -146,10 +193,11 @@
 
 enum Never {}
 
-async fn watch(
+async fn watch_once(
     client: &Client<HttpConnector, Empty<Bytes>>,
     discovery: SocketAddr,
     version: &mut u64,
+    replaces: &mut Option<Watch>,
     module: &mpsc::Sender<Change>,
 ) -> Result<Never, String> {
     let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={version}");
@@ -165,8 +213,9 @@
         let frame = timeout_at(Instant::now() + SILENCE, body.frame()).await.map_err(quiet)?;
         let frame = frame.ok_or("closed")?.map_err(|e| e.to_string())?;
         let Some(bytes) = frame.data_ref() else { continue };
-        for change in lines.feed(bytes)? {
+        for mut change in lines.feed(bytes)? {
             *version = change.version;
+            change.moved = replaces.take().is_some();
             COUNTERS.list_changes.one();
             module.send(change).await.map_err(|_| "the module has ended")?;
         }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -81,6 +81,9 @@
     list_watches,
     peer_sent,
     peer_received,
+    /// Reloads of the configuration, and those refused for a fault in it.
+    reloads,
+    reloads_refused,
     /// Batches handed to the decisions, and events in them.
     batches,
     events,
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -89,6 +89,8 @@
     requests: HashMap<RequestId, Open>,
     destinations: HashMap<BackendId, (Handle, Listed)>,
     list_version: u64,
+    /// Changes of the pool config handed to the decisions.
+    changes: u64,
     timers: BinaryHeap<Reverse<Micros>>,
     events: Vec<Event>,
     /// Ends that were known at once, for the next batch.
@@ -105,6 +107,7 @@
             requests: HashMap::new(),
             destinations: HashMap::new(),
             list_version: 0,
+            changes: 0,
             timers: BinaryHeap::new(),
             events: Vec::new(),
             at_once: Vec::new(),
@@ -145,9 +148,9 @@
         }
     }
 
-    fn listed(&mut self, change: Change) {
-        // As the decisions do, so that both know the same destinations.
-        if change.version < self.list_version {
+    fn listed(&mut self, mut change: Change) {
+        // Versions count at one discovery; to the decisions changes are numbered as they come.
+        if change.version < self.list_version && !change.moved {
             return;
         }
         self.list_version = change.version;
@@ -161,9 +164,18 @@
                 stays
             });
         }
-        for entry in &change.entries {
-            let (id, listed) = (&entry.listed.backend, &entry.listed);
+        for entry in &mut change.entries {
+            let listed = &mut entry.listed;
+            let id = &listed.backend.clone();
             let known = self.destinations.get(id);
+            // Guards drains across a move: the next discovery may lag, and a drain once told holds until the
+            // destination starts anew.
+            let drains = |(_, before): &(Handle, Listed)| {
+                before.state == BackendState::Draining && before.started == listed.started
+            };
+            if change.moved && listed.state == BackendState::InService && known.is_some_and(drains) {
+                listed.state = BackendState::Draining;
+            }
             if listed.state != BackendState::InService {
                 if let Some((handle, _)) = known {
                     handle.close();
@@ -193,7 +205,8 @@
             }
         }
         let list = change.entries.into_iter().map(|e| e.listed).collect();
-        self.events.push(Event::Backends { version: change.version, whole: change.whole, list });
+        self.changes += 1;
+        self.events.push(Event::Backends { version: self.changes, whole: change.whole, list });
     }
 
     fn read(&mut self, mail: Mail) {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,4 +1,4 @@
-//! Signals: SIGTERM ends the program in order, SIGUSR1 prints the counters.
+//! Signals: SIGTERM ends the program in order, SIGHUP reads the addresses again, SIGUSR1 prints the counters.
 
 use std::io;
 use std::time::Duration;
@@ -7,7 +7,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
+use super::config::{self, Addresses};
 use super::metrics::COUNTERS;
+use crate::say;
 
 /// Connections go on coming for up to 400 ms after SIGTERM; the rest is for one on its way.
 const STILL_COMING: Duration = Duration::from_millis(450);
@@ -31,6 +33,7 @@
     terminate: Signal,
     interrupt: Signal,
     print: Signal,
+    reload: Signal,
 }
 
 impl Signals {
@@ -40,16 +43,23 @@
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             print: signal(SignalKind::user_defined1())?,
+            reload: signal(SignalKind::hangup())?,
         })
     }
 
     /// Follows the signals. Ends when the program must, even if requests are still open.
-    pub async fn follow(mut self, phase: watch::Sender<Phase>, longest_deadline: Duration) {
+    pub async fn follow(
+        mut self,
+        phase: watch::Sender<Phase>,
+        addresses: watch::Sender<Addresses>,
+        longest_deadline: Duration,
+    ) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => break,
                 _ = self.interrupt.recv() => break,
                 _ = self.print.recv() => eprintln!("{COUNTERS}"),
+                _ = self.reload.recv() => reload(&addresses),
             }
         }
         let told = Instant::now();
@@ -59,3 +69,20 @@
         sleep_until(told + longest_deadline.max(LEAST_LONGEST) + BEFORE_THE_KILL).await;
     }
 }
+
+/// Reads the configuration again and tells the list and the counter their addresses. Guards a reload of a
+/// file that is faulty or not there: the addresses in force stay.
+fn reload(addresses: &watch::Sender<Addresses>) {
+    let now = *addresses.borrow();
+    match config::reread(now) {
+        Ok(read) => {
+            COUNTERS.reloads.one();
+            say!("reload: discovery {}, counter {:?}", read.discovery, read.counter);
+            addresses.send_replace(read);
+        }
+        Err(e) => {
+            COUNTERS.reloads_refused.one();
+            say!("reload refused, nothing changes: {e}");
+        }
+    }
+}
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -231,17 +231,22 @@
 
 /// The program, without the environment of whoever runs the tests.
 pub fn command(config: &str) -> Command {
+    command_on(&config_file(config))
+}
+
+fn command_on(file: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_sedgestack"));
     for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(name);
     }
-    command.env("LB_CONFIG", config_file(config)).stdin(Stdio::null()).stderr(Stdio::piped());
+    command.env("LB_CONFIG", file).stdin(Stdio::null()).stderr(Stdio::piped());
     command
 }
 
 /// A limiter that runs.
 pub struct Limiter {
     child: Child,
+    file: PathBuf,
     log: BufReader<std::process::ChildStderr>,
     pub address: SocketAddr,
 }
@@ -249,10 +254,20 @@
 impl Limiter {
     /// Starts the program and waits until it listens.
     pub fn start(config: &Value) -> Limiter {
-        let mut child = command(&config.to_string()).spawn().expect("the program starts");
+        Limiter::start_with(config, None)
+    }
+
+    /// Starts the program with `LB_DISCOVERY` set, if it is given.
+    pub fn start_with(config: &Value, discovery: Option<SocketAddr>) -> Limiter {
+        let file = config_file(&config.to_string());
+        let mut command = command_on(&file);
+        if let Some(discovery) = discovery {
+            command.env("LB_DISCOVERY", discovery.to_string());
+        }
+        let mut child = command.spawn().expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let address = wait_for(&mut log, "listening on ").parse().expect("an address");
-        Limiter { child, log, address }
+        Limiter { child, file, log, address }
     }
 
     pub fn connect(&self) -> Client {
@@ -276,6 +291,13 @@
         assert!(done.expect("kill is there").success());
     }
 
+    /// Replaces the configuration, tells the program to read it again, and gives what it says of that.
+    pub fn reload(&mut self, config: &str) -> String {
+        std::fs::write(&self.file, config).expect("the target folder can be written");
+        self.signal("HUP");
+        wait_for(&mut self.log, "reload")
+    }
+
     /// The counters, printed on request.
     pub fn counters(&mut self) -> String {
         self.signal("USR1");
@@ -331,19 +353,27 @@
     }
 }
 
+/// An id that no other request has.
+fn new_id() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    format!("9b1f03aa{:08x}", NEXT.fetch_add(1, Relaxed))
+}
+
 /// A `GET` of the safe class on a plan.
 pub fn read(plan: &str, units: u32) -> String {
+    let id = new_id();
     format!(
         "GET /read/00000000b4d65521?part=1 HTTP/1.1\r\nHost: backend.local\r\n\
-         X-Request-Id: 9b1f03aa5c7e2d41\r\nX-Class: read\r\nX-Contract: {plan}\r\nX-Deadline-Ms: 8000\r\n\
+         X-Request-Id: {id}\r\nX-Class: read\r\nX-Contract: {plan}\r\nX-Deadline-Ms: 8000\r\n\
          X-Metering: units={units},spread=1,first=0\r\n\r\n"
     )
 }
 
 /// A `POST` of the keyed class.
 pub fn send(body: &str) -> String {
+    let id = new_id();
     format!(
-        "POST /send/00000000b4d65521 HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 9b1f03aa5c7e2d42\r\n\
+        "POST /send/00000000b4d65521 HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {id}\r\n\
          X-Class: send\r\nX-Contract: large\r\nX-Deadline-Ms: 8000\r\nIdempotency-Key: 5c0f6e1a2b3d4c59\r\n\
          X-Metering: units=1,spread=1,first=0\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -22,12 +22,14 @@
     let destination = Destination::answering("a report");
     let (limiter, _push) = limiter(vec![destination.entry("s-1", "Ready")]);
     let mut client = limiter.connect();
-    let answer = client.ask(&read("large", 1));
+    let request = read("large", 1);
+    let answer = client.ask(&request);
     assert_eq!((answer.status(), answer.body.as_str()), (200, "a report"));
     assert_eq!(client.ask(&send("a thesis")).status(), 200);
+    let id = request.lines().find_map(|l| l.strip_prefix("X-Request-Id: ")).expect("it has one");
     let seen = destination.seen();
     assert_eq!(seen[0].first, "GET /read/00000000b4d65521?part=1 HTTP/1.1");
-    assert_eq!(seen[0].header("x-request-id"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen[0].header("x-request-id"), Some(id));
     let left: u64 = seen[0].header("x-deadline-ms").unwrap().parse().unwrap();
     assert!(left <= 8000, "{left}");
     assert_eq!(seen[1].first, "POST /send/00000000b4d65521 HTTP/1.1");
@@ -63,7 +65,7 @@
         (get.replace("X-Class: read", "X-Class: send"), 400),
         (get.replace("X-Contract: large", "X-Contract: huge"), 400),
         (get.replace("X-Request-Id", "X-Other-Id"), 400),
-        (get.replace("9b1f03aa5c7e2d41", ""), 400),
+        (get.replace("X-Request-Id: ", "X-Request-Id: \r\nX-Other-Id: "), 400),
         (get.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: soon"), 400),
         (get.replace("units=1", "units=NaN"), 400),
         (get.replace(",spread=1", ""), 400),
@@ -223,6 +225,47 @@
     assert!(log.contains("counters:") && log.contains(" served=1 "), "{log}");
 }
 
+/// Discovery and the counter move under a request, whether or not the environment named discovery at the
+/// start; versions of the next discovery begin anew, and a drain told by the former one holds.
+#[test]
+fn a_reload_moves_the_list_and_the_counter_without_losing_a_request() {
+    for from_environment in [false, true] {
+        let (held, release) = Destination::holding();
+        let (drained, next) = (Destination::answering("drained"), Destination::answering("next"));
+        let (discovery_a, push_a) = discovery();
+        let (discovery_b, push_b) = discovery();
+        let ((counter_a, connected_a), (counter_b, connected_b)) = (counter(true), counter(true));
+        let servers = vec![held.entry("s-1", "Ready"), drained.entry("s-2", "Terminating")];
+        let mut settings = config(discovery_a, counter_a, servers);
+        settings["known"]["version"] = json!(50);
+        let mut limiter = Limiter::start_with(&settings, from_environment.then_some(discovery_a));
+        connected_a.recv_timeout(HUNG).expect("the first counter is called");
+        let mut client = limiter.connect();
+        client.write(&read("large", 1));
+        held.until_asked();
+
+        assert!(limiter.reload("{").contains("refused"), "a faulty file changes nothing");
+        assert!(connected_b.try_recv().is_err());
+        settings["discovery"] = json!(discovery_b.to_string());
+        settings["counter"] = json!(counter_b.to_string());
+        let said = limiter.reload(&settings.to_string());
+        assert!(said.contains(&discovery_b.to_string()), "{said}");
+        connected_b.recv_timeout(HUNG).expect("the next counter is called");
+        let servers =
+            [held.entry("s-1", "Terminating"), drained.entry("s-2", "Ready"), next.entry("s-3", "Ready")];
+        push_b.send(json!({"version": 3, "full": true, "servers": servers})).unwrap();
+        while !limiter.counters().contains(" list_changes=1 ") {}
+        for _ in 0..20 {
+            assert_eq!(limiter.ask(&read("large", 1)).body, "next");
+        }
+        release.send(()).unwrap();
+        assert_eq!(client.answer().expect("it was taken before the move").body, "a report");
+        assert_eq!(drained.count(), 0);
+        assert!(limiter.counters().contains(" reloads=1 reloads_refused=1 "));
+        drop(push_a);
+    }
+}
+
 #[test]
 fn a_faulty_configuration_is_refused_by_its_key() {
     let nowhere = "127.0.0.1:1".parse().unwrap();
