Bound front sockets by stage and refuse bad requests before the decisions

At fault: front.rs let go of a permit only when a connection ended by itself; LONGEST_HEAD was 75 s, bodies had no deadline, and accept waited for a permit. Read beside it: `metering` took any finite units and any spread; repeated headers counted by their first; Transfer-Encoding hid a Content-Length; two requests could carry one id; hyper's next read could take the rest of a refused body for a request.

Ranges, repeats, framing and open ids are checked at the front; every such error closes the connection after skipping at most 1 MiB. hyper's own timer for heads is off: one timer a request less.

hyper takes repeated equal Content-Lengths as one, which leaves the length plain; differing, negative and huge ones it answers with 400 by itself. Chunked bodies alone are refused as well (400), as hyper drops the Content-Length that stood beside Transfer-Encoding.

--- a/src/main.rs
+++ b/src/main.rs
@@ -74,7 +74,7 @@
 
     let (phase, stopping) = watch::channel(Phase::Serving);
     let longest = config::span(config.limits.longest_deadline);
-    let front = front::Front::new(config.names, &config.settings, ready, stopping, module);
+    let front = front::Front::new(config.names, &config.settings, longest, ready, stopping, module);
     tokio::select! {
         served = front::serve(config.listen, config.front_sockets, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
+use super::ids::OpenId;
 use super::metrics::COUNTERS;
 use super::module::Mail;
 
@@ -49,7 +50,7 @@
 pub struct Forward {
     pub method: Method,
     pub path: PathAndQuery,
-    pub id: HeaderValue,
+    pub id: OpenId,
     pub key: Option<HeaderValue>,
     pub body: Bytes,
 }
@@ -412,7 +413,7 @@
         *request.method_mut() = forward.method.clone();
         *request.uri_mut() = self.uri(forward.path.clone());
         let headers = request.headers_mut();
-        headers.insert(X_REQUEST_ID, forward.id.clone());
+        headers.insert(X_REQUEST_ID, forward.id.value().clone());
         if let Some(key) = &forward.key {
             headers.insert(IDEMPOTENCY_KEY, key.clone());
         }
@@ -532,6 +533,7 @@
 mod tests {
     use super::*;
     use crate::net::fixed;
+    use crate::net::ids::OpenIds;
     use proptest::prelude::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
@@ -669,7 +671,7 @@
         let forward = Forward {
             method: Method::POST,
             path: format!("/{conduct:?}").try_into().unwrap(),
-            id: HeaderValue::from_static("9b1f03aa5c7e2d41"),
+            id: OpenIds::default().claim(HeaderValue::from_static("9b1f03aa5c7e2d41")).unwrap(),
             key: None,
             body: Bytes::from_static(b"body"),
         };
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,6 +1,5 @@
 //! The front sockets: the platform's requests in, final answers out.
 
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -16,27 +15,34 @@
 use axum::Router;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::service::{service_fn, Service};
+use hyper_util::rt::TokioTimer;
 use hyper_util::service::TowerToHyperService;
 use sedgestack::platform::Names;
 use sedgestack::{Effect, Micros, Request, RequestId, Settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{interval, sleep_until, timeout_at, Instant, MissedTickBehavior};
 
 use super::destination::{Forward, LARGEST_BODY};
+use super::ids::OpenIds;
 use super::metrics::COUNTERS;
 use super::module::{Mail, Reply, Taken};
 use super::shutdown::Phase;
+use super::sockets::{FrontStream, Place, Sockets, Stage};
 use crate::say;
 
 /// A client's deadline counts from when it sent; its request took up to this long to come.
 const ON_THE_WAY: Duration = Duration::from_millis(2);
 /// The last-resort answer leaves this long before the client gives up, after any answer of the module's.
 const LAST_RESORT: Duration = Duration::from_millis(4);
-/// A front socket whose next request does not come whole for so long is closed.
-const LONGEST_HEAD: Duration = Duration::from_secs(75);
+/// The sockets whose time is up are looked for this often.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+/// Bytes skipped at most after an error was told, for the client to have read it.
+const MOST_SKIPPED: usize = 1 << 20;
 /// Bytes of a request held unread at once: bounds memory over all front sockets.
 const LARGEST_HEAD: usize = 64 << 10;
 /// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
@@ -52,6 +58,12 @@
     stopping: watch::Receiver<Phase>,
     module: mpsc::Sender<Mail>,
     next: AtomicU64,
+    /// What a request may say: units and customers' sets within the settings, a deadline no later than theirs.
+    most_units: f64,
+    gateways: u32,
+    longest_deadline: Duration,
+    /// Requests that are open, by the platform's id.
+    open: OpenIds,
 }
 
 impl Front {
@@ -59,12 +71,25 @@
     pub fn new(
         names: Names,
         settings: &Settings,
+        longest_deadline: Duration,
         ready: Arc<AtomicBool>,
         stopping: watch::Receiver<Phase>,
         module: mpsc::Sender<Mail>,
     ) -> Front {
         let effects = settings.classes.iter().map(|c| c.effect).collect();
-        Front { names, effects, ready, stopping, module, next: AtomicU64::new(1) }
+        let most_units = if settings.max_units > 0.0 { settings.max_units } else { f64::MAX };
+        Front {
+            names,
+            effects,
+            ready,
+            stopping,
+            module,
+            next: AtomicU64::new(1),
+            most_units,
+            gateways: settings.gateways.max(1),
+            longest_deadline,
+            open: OpenIds::default(),
+        }
     }
 }
 
@@ -73,20 +98,21 @@
 enum Unfit {
     UnknownPath,
     Malformed(&'static str),
+    AlreadyOpen,
+    TooLarge,
 }
 
 impl IntoResponse for Unfit {
     fn into_response(self) -> Response {
-        match self {
-            Unfit::UnknownPath => {
-                COUNTERS.unknown_path.one();
-                (StatusCode::NOT_FOUND, "no such path\n").into_response()
-            }
-            Unfit::Malformed(what) => {
-                COUNTERS.malformed.one();
-                (StatusCode::BAD_REQUEST, format!("{what}\n")).into_response()
-            }
-        }
+        let (count, status, text) = match self {
+            Unfit::UnknownPath => (&COUNTERS.unknown_path, StatusCode::NOT_FOUND, "no such path"),
+            Unfit::Malformed(what) => (&COUNTERS.malformed, StatusCode::BAD_REQUEST, what),
+            Unfit::AlreadyOpen => (&COUNTERS.already_open, StatusCode::CONFLICT, "X-Request-Id is open"),
+            Unfit::TooLarge => (&COUNTERS.too_large, StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        };
+        count.one();
+        // Guards against the rest of what was sent being read as a next request.
+        (status, [(header::CONNECTION, "close")], format!("{text}\n")).into_response()
     }
 }
 
@@ -107,7 +133,8 @@
     digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
-/// Reads the platform's path and headers.
+/// Reads the platform's path and headers. Guards usual customers: what no usual client says, out of the
+/// settings' range or twice, must not reach the decisions, least of all in a usual customer's name.
 fn understand(front: &Front, head: &Parts) -> Result<Head, Unfit> {
     let headers = &head.headers;
     let mut parts = head.uri.path().strip_prefix('/').unwrap_or_default().split('/');
@@ -116,61 +143,77 @@
     };
     let place = front.names.class(class).ok_or(Unfit::UnknownPath)?;
     let need = |ok: bool, what| if ok { Ok(()) } else { Err(Unfit::Malformed(what)) };
-    let text = |name: &'static str| headers.get(name).and_then(|v| v.to_str().ok());
+    let only = |name: &'static str| {
+        let mut all = headers.get_all(name).iter();
+        all.next().filter(|v| !v.is_empty() && all.next().is_none())
+    };
+    let text = |name: &'static str| only(name).and_then(|v| v.to_str().ok());
+    need(!headers.contains_key(header::TRANSFER_ENCODING), "a body comes with a Content-Length here")?;
     let customer = hex16(customer).filter(|c| *c < CUSTOMERS);
     let customer = customer.ok_or(Unfit::Malformed("the customer is not 16 hex digits below 2^33"))?;
-    need(text("x-class") == Some(class), "X-Class is missing or not the path's class")?;
+    need(text("x-class") == Some(class), "X-Class is not there once as the path's class")?;
     let plan = text("x-contract").and_then(|n| front.names.plan(n));
-    let plan = plan.ok_or(Unfit::Malformed("X-Contract is missing or unknown"))?;
+    let plan = plan.ok_or(Unfit::Malformed("X-Contract is not there once with a known plan"))?;
     // No form is set for it: it passes on as it came.
-    let id = headers.get("x-request-id").filter(|v| !v.is_empty());
-    let id = id.cloned().ok_or(Unfit::Malformed("X-Request-Id is missing"))?;
-    let patience = text("x-deadline-ms").and_then(|t| t.parse::<u32>().ok());
-    let patience = patience.ok_or(Unfit::Malformed("X-Deadline-Ms is not a whole number"))?;
-    let (units, spread) =
-        metering(text("x-metering")).ok_or(Unfit::Malformed("X-Metering lacks units, spread or first"))?;
-    let key = headers.get("idempotency-key").cloned();
+    let id = only("x-request-id").cloned().ok_or(Unfit::Malformed("X-Request-Id is not there once"))?;
+    let digits = |t: &&str| t.bytes().all(|b| b.is_ascii_digit());
+    let patience = text("x-deadline-ms").filter(digits).and_then(|t| t.parse::<u32>().ok());
+    let patience = patience.ok_or(Unfit::Malformed("X-Deadline-Ms is not there once as a whole number"))?;
+    let (units, spread) = metering(front, text("x-metering"))
+        .ok_or(Unfit::Malformed("X-Metering is not there once with units, spread and first in range"))?;
+    let key = only("idempotency-key").cloned();
     match front.effects[place] {
-        Effect::Safe => need(head.method == Method::GET, "this class uses GET")?,
+        Effect::Safe => {
+            need(head.method == Method::GET, "this class uses GET")?;
+            let empty = headers.get(header::CONTENT_LENGTH).is_none_or(|l| l == "0");
+            need(empty, "this class has no body")?;
+        }
         Effect::Keyed { .. } => {
             need(head.method == Method::POST, "this class uses POST")?;
-            need(key.as_ref().is_some_and(|k| !k.is_empty()), "Idempotency-Key is missing")?;
+            need(key.is_some(), "Idempotency-Key is not there once")?;
         }
         Effect::Unsafe => need(head.method == Method::POST, "this class uses POST")?,
     }
-    let patience = Duration::from_millis(patience.into());
+    let patience = Duration::from_millis(patience.into()).min(front.longest_deadline);
     Ok(Head { class: place, plan, customer, units, spread, patience, id, key })
 }
 
-/// Units and spread of `units=2,spread=3,first=1`.
-fn metering(text: Option<&str>) -> Option<(f64, u32)> {
+/// Units and spread of `units=2,spread=3,first=1`, each there once and within the settings.
+fn metering(front: &Front, text: Option<&str>) -> Option<(f64, u32)> {
     let (mut units, mut spread, mut first) = (None, None, None);
     for pair in text?.split(',') {
         let (name, value) = pair.trim().split_once('=')?;
-        match name {
-            "units" => units = value.parse::<f64>().ok().filter(|u| u.is_finite() && *u >= 0.0),
-            "spread" => spread = value.parse::<u32>().ok().filter(|s| *s > 0),
-            "first" => first = value.parse::<u32>().ok(),
-            _ => {}
+        let before = match name {
+            "units" => {
+                units.replace(value.parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= front.most_units)?)
+            }
+            "spread" => {
+                let spread = &mut spread;
+                let value = value.parse::<u32>().ok().filter(|s| (1..=front.gateways).contains(s))?;
+                spread.replace(value).map(f64::from)
+            }
+            "first" => {
+                first.replace(value.parse::<u32>().ok().filter(|f| *f < front.gateways)?).map(f64::from)
+            }
+            _ => None,
+        };
+        if before.is_some() {
+            return None;
         }
     }
     first.and(units.zip(spread))
 }
 
 /// The body, if it is small enough.
-async fn whole(headers: &HeaderMap, body: Body) -> Result<Bytes, Response> {
-    let too_large = || {
-        COUNTERS.too_large.one();
-        StatusCode::PAYLOAD_TOO_LARGE.into_response()
-    };
+async fn whole(headers: &HeaderMap, body: Body) -> Result<Bytes, Unfit> {
     let told = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
     if told.is_some_and(|length| length > LARGEST_BODY as u64) {
-        return Err(too_large());
+        return Err(Unfit::TooLarge);
     }
     match Limited::new(body, LARGEST_BODY).collect().await {
         Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(too_large()),
-        Err(_) => Err(Unfit::Malformed("the body broke off").into_response()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Unfit::TooLarge),
+        Err(_) => Err(Unfit::Malformed("the body broke off")),
     }
 }
 
@@ -195,15 +238,23 @@
 
 async fn take(State(front): State<Arc<Front>>, request: axum::extract::Request) -> Response {
     let came = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let place = parts.extensions.remove::<Arc<Place>>();
     let head = match understand(&front, &parts) {
         Ok(head) => head,
         Err(unfit) => return unfit.into_response(),
     };
     let body = match whole(&parts.headers, body).await {
         Ok(body) => body,
-        Err(answer) => return answer,
+        Err(unfit) => return unfit.into_response(),
     };
+    // Guards repeats: under the id of an open request a second copy would reach a destination.
+    let Some(request_id) = front.open.claim(head.id) else {
+        return Unfit::AlreadyOpen.into_response();
+    };
+    if let Some(place) = place {
+        place.is(Stage::Held);
+    }
     let deadline = came + head.patience.saturating_sub(ON_THE_WAY);
     let id = front.next.fetch_add(1, Relaxed);
     let request = Request {
@@ -217,7 +268,7 @@
     };
     let path = parts.uri.into_parts().path_and_query;
     let path = path.expect("a path that was understood is there");
-    let forward = Arc::new(Forward { method: parts.method, path, id: head.id, key: head.key, body });
+    let forward = Arc::new(Forward { method: parts.method, path, id: request_id, key: head.key, body });
     let (reply, answer) = oneshot::channel();
     if front.module.try_send(Mail::Taken(Taken { request, forward, deadline, reply })).is_err() {
         COUNTERS.turned_away_full.one();
@@ -275,70 +326,108 @@
 pub async fn serve(listen: SocketAddr, sockets: usize, front: Front) -> io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     say!("front: listening on {}", listener.local_addr()?);
-    let room = Arc::new(Semaphore::new(sockets));
-    let mut stopping = front.stopping.clone();
+    let sockets = Sockets::new(sockets);
+    let stopping = front.stopping.clone();
     let routes = routes(front);
     let (finished, mut all_finished) = mpsc::channel::<()>(1);
+    let start = |stream| {
+        COUNTERS.front_accepted.one();
+        let place = sockets.enter();
+        let task = connection(stream, routes.clone(), stopping.clone(), place.clone(), finished.clone());
+        place.served_by(tokio::spawn(task).abort_handle());
+    };
+    let mut sweep = interval(SWEEP_EVERY);
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut closing = stopping.clone();
     loop {
         let accept = async {
-            let descriptor = room.clone().acquire_owned().await.expect("the semaphore is never closed");
-            (listener.accept().await, descriptor)
-        };
-        let (accepted, descriptor) = tokio::select! {
-            accepted = accept => accepted,
-            _ = stopping.wait_for(|p| *p == Phase::Closing) => break,
+            sockets.room().await;
+            listener.accept().await
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                COUNTERS.front_accept_failed.one();
-                say!("front: accept: {e}");
-                sleep_until(Instant::now() + ACCEPT_REST).await;
-                continue;
-            }
-        };
-        tokio::spawn(connection(
-            stream,
-            routes.clone(),
-            stopping.clone(),
-            (Some(descriptor), finished.clone()),
-        ));
+        tokio::select! {
+            accepted = accept => match accepted {
+                Ok((stream, _)) => start(stream),
+                Err(e) => {
+                    COUNTERS.front_accept_failed.one();
+                    say!("front: accept: {e}");
+                    sleep_until(Instant::now() + ACCEPT_REST).await;
+                }
+            },
+            _ = sweep.tick() => sockets.sweep(),
+            _ = closing.wait_for(|p| *p == Phase::Closing) => break,
+        }
     }
     // What the machine accepted before the listener closes counts as taken too.
     while let Some(Ok((stream, _))) = futures_util::FutureExt::now_or_never(listener.accept()) {
-        tokio::spawn(connection(stream, routes.clone(), stopping.clone(), (None, finished.clone())));
+        start(stream);
     }
     drop((listener, finished));
-    all_finished.recv().await;
-    Ok(())
+    loop {
+        tokio::select! {
+            _ = all_finished.recv() => return Ok(()),
+            _ = sweep.tick() => sockets.sweep(),
+        }
+    }
 }
 
 /// Serves one front socket. One that stands idle when the program is told to stop is closed at once, one
-/// that comes later when the listener is. `held` is let go with it: its descriptor, its share in the end.
-fn connection(
-    stream: TcpStream,
+/// that comes later when the listener is. `_share` is let go with it.
+async fn connection(
+    mut stream: TcpStream,
     routes: Router,
     mut stopping: watch::Receiver<Phase>,
-    held: (Option<OwnedSemaphorePermit>, mpsc::Sender<()>),
-) -> impl Future<Output = ()> + Send + 'static {
-    COUNTERS.front_accepted.one();
+    place: Arc<Place>,
+    _share: mpsc::Sender<()>,
+) {
     let _ = stream.set_nodelay(true);
     let came_late = *stopping.borrow() != Phase::Serving;
-    async move {
-        let _held = held;
+    let routes = TowerToHyperService::new(routes);
+    let (seat, refused) = (place.clone(), AtomicBool::new(false));
+    let service = service_fn(|mut request: hyper::Request<Incoming>| {
+        request.extensions_mut().insert(seat.clone());
+        let answer = routes.call(request);
+        async {
+            let answer = answer.await;
+            seat.is(Stage::Answering);
+            let error = answer.as_ref().is_ok_and(|a| a.status().is_client_error());
+            refused.store(error, Relaxed);
+            answer
+        }
+    });
+    let ended = {
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(LONGEST_HEAD)
+            .header_read_timeout(None)
             .max_buf_size(LARGEST_HEAD)
-            .serve_connection(TokioIo::new(stream), TowerToHyperService::new(routes));
+            .serve_connection(FrontStream::new(&mut stream, place.clone()), service);
         tokio::pin!(connection);
         let last = if came_late { Phase::Closing } else { Phase::Stopping };
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = stopping.wait_for(|p| *p >= last) => connection.as_mut().graceful_shutdown(),
+        let ended = tokio::select! {
+            ended = connection.as_mut() => Some(ended),
+            _ = stopping.wait_for(|p| *p >= last) => None,
+        };
+        if ended.is_none() {
+            connection.as_mut().graceful_shutdown();
+        }
+        match ended {
+            Some(ended) => ended,
+            None => connection.await,
         }
-        // An error here is the client's: it went away, or spoke no HTTP.
-        let _ = connection.await;
+    };
+    // Otherwise the client went away, or has had its last answer.
+    if refused.load(Relaxed) || ended.is_err_and(|e| e.is_parse()) {
+        place.is(Stage::Unfinished);
+        skip_rest(&mut stream).await;
+    }
+}
+
+/// Reads what a client still sends after it was told an error, for it to read the error: a socket closed with
+/// bytes unread is reset. Guards against skipping without end by a count of bytes, and by the socket's stage.
+async fn skip_rest(stream: &mut TcpStream) {
+    let _ = stream.shutdown().await;
+    let (mut skipped, mut buffer) = (0, [0; 4096]);
+    while let (Ok(count @ 1..), true) = (stream.read(&mut buffer).await, skipped < MOST_SKIPPED) {
+        skipped += count;
     }
 }
 
@@ -359,13 +448,18 @@
             stopping,
             module,
             next: AtomicU64::new(1),
+            most_units: 4.0,
+            gateways: 4,
+            longest_deadline: Duration::from_secs(8),
+            open: OpenIds::default(),
         };
         (routes(front), mail, phase)
     }
 
     fn request(patience: &str) -> axum::extract::Request {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
         axum::http::Request::get("/read/00000000b4d65521")
-            .header("X-Request-Id", "9b1f03aa5c7e2d41")
+            .header("X-Request-Id", NEXT.fetch_add(1, Relaxed))
             .header("X-Class", "read")
             .header("X-Contract", "small")
             .header("X-Deadline-Ms", patience)
--- /dev/null
+++ b/src/net/ids.rs
@@ -0,0 +1,40 @@
+//! The ids of the requests that are open.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use axum::http::HeaderValue;
+
+type Ids = Arc<Mutex<HashSet<HeaderValue>>>;
+
+/// The ids that are claimed.
+#[derive(Default)]
+pub struct OpenIds(Ids);
+
+impl OpenIds {
+    /// Claims an id, unless it is claimed already.
+    pub fn claim(&self, id: HeaderValue) -> Option<OpenId> {
+        let new = self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| OpenId { id, ids: self.0.clone() })
+    }
+}
+
+/// A claim on an id, until it is dropped.
+#[derive(Debug)]
+pub struct OpenId {
+    id: HeaderValue,
+    ids: Ids,
+}
+
+impl OpenId {
+    /// The id as it came.
+    pub fn value(&self) -> &HeaderValue {
+        &self.id
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.ids.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,12 +5,14 @@
 pub mod counter;
 pub mod destination;
 pub mod front;
+pub mod ids;
 pub mod list;
 pub mod log;
 pub mod metrics;
 pub mod module;
 pub mod peers;
 pub mod shutdown;
+pub mod sockets;
 
 /// Settings of the checks by random steps: the same steps at every run.
 #[cfg(test)]
--- /dev/null
+++ b/src/net/sockets.rs
@@ -0,0 +1,393 @@
+//! The front sockets that are open: how far each is with its request, and which one is closed when its time
+//! is up or room runs short.
+//!
+//! A socket whose request is with the module is never closed from here.
+
+use std::collections::{BTreeSet, HashMap};
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep_until, Instant};
+
+use super::metrics::{Count, COUNTERS};
+
+/// A request, head and body, that has not come whole by then never will; the platform owes who sends
+/// rubbish, or nothing, an end within 3 s of connecting.
+const LONGEST_REQUEST: Duration = Duration::from_millis(2_000);
+/// An answer that a client has not taken by then is not being read.
+const LONGEST_ANSWER: Duration = Duration::from_secs(5);
+/// Between requests a socket is kept for so long; it goes earlier where room runs short.
+const LONGEST_REST: Duration = Duration::from_secs(10);
+/// A socket is not closed for want of room before this: usual requests come whole within it.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+
+/// How far a front socket is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// A request is awaited on a new socket or has come in part; or an error was told and the rest is skipped.
+    Unfinished,
+    /// Nothing is owed; the next request may come.
+    Idle,
+    /// The answer is being written.
+    Answering,
+    /// The request is with the module.
+    Held,
+}
+
+impl Stage {
+    /// How long a socket may stay there, and what counts those that stayed longer.
+    fn limit(self) -> Option<(Duration, &'static Count)> {
+        match self {
+            Stage::Unfinished => Some((LONGEST_REQUEST, &COUNTERS.front_closed_unfinished)),
+            Stage::Idle => Some((LONGEST_REST, &COUNTERS.front_closed_idle)),
+            Stage::Answering => Some((LONGEST_ANSWER, &COUNTERS.front_closed_unread)),
+            Stage::Held => None,
+        }
+    }
+}
+
+/// Stages in which time runs, those that go first for want of room in front.
+const TIMED: [Stage; 3] = [Stage::Unfinished, Stage::Idle, Stage::Answering];
+
+/// What room there is for one more socket.
+#[derive(Debug, PartialEq)]
+enum Room {
+    Free,
+    /// This one is to go first.
+    Instead(u64),
+    /// None may go before then, or before one ends by itself.
+    From(Option<Instant>),
+}
+
+struct Entry {
+    stage: Stage,
+    since: Instant,
+    /// The task that serves it.
+    task: Option<AbortHandle>,
+    /// Told to go.
+    leaving: bool,
+}
+
+/// The sockets without their I/O.
+#[derive(Default)]
+struct Table {
+    last: u64,
+    open: HashMap<u64, Entry>,
+    /// Of each stage in `TIMED`, its sockets by the time since when they are there.
+    since: [BTreeSet<(Instant, u64)>; TIMED.len()],
+    /// Told to go and not gone yet.
+    leaving: usize,
+}
+
+impl Table {
+    fn enter(&mut self, now: Instant) -> u64 {
+        self.last += 1;
+        let entry = Entry { stage: Stage::Unfinished, since: now, task: None, leaving: false };
+        self.open.insert(self.last, entry);
+        self.since[0].insert((now, self.last));
+        self.last
+    }
+
+    /// Takes a socket off the clock.
+    fn untime(&mut self, id: u64) {
+        let Some(entry) = self.open.get(&id) else { return };
+        if let Some(place) = TIMED.iter().position(|s| *s == entry.stage) {
+            self.since[place].remove(&(entry.since, id));
+        }
+    }
+
+    fn set(&mut self, id: u64, stage: Stage, now: Instant) {
+        self.untime(id);
+        let Some(entry) = self.open.get_mut(&id).filter(|e| !e.leaving) else { return };
+        (entry.stage, entry.since) = (stage, now);
+        if let Some(place) = TIMED.iter().position(|s| *s == stage) {
+            self.since[place].insert((now, id));
+        }
+    }
+
+    fn leave(&mut self, id: u64) {
+        self.untime(id);
+        if self.open.remove(&id).is_some_and(|e| e.leaving) {
+            self.leaving -= 1;
+        }
+    }
+
+    /// One whose time is up.
+    fn overdue(&self, now: Instant) -> Option<(u64, &'static Count)> {
+        TIMED.iter().zip(&self.since).find_map(|(stage, sockets)| {
+            let ((since, id), (limit, count)) = sockets.first().zip(stage.limit())?;
+            (*since + limit <= now).then_some((*id, count))
+        })
+    }
+
+    /// Room for one more where `most` may be open: unfinished ones go before idle ones, the oldest first.
+    fn room(&self, most: usize, now: Instant) -> Room {
+        if self.open.len() < most {
+            return Room::Free;
+        }
+        if self.leaving > 0 {
+            return Room::From(None);
+        }
+        let oldest = self.since[..2].iter().filter_map(|s| s.first());
+        match oldest.clone().find(|(since, _)| *since + LEAST_WAIT <= now) {
+            Some((_, id)) => Room::Instead(*id),
+            None => Room::From(oldest.map(|(since, _)| *since + LEAST_WAIT).min()),
+        }
+    }
+
+    /// Tells a socket to go, this once.
+    fn close(&mut self, id: u64) {
+        self.untime(id);
+        let Some(entry) = self.open.get_mut(&id) else { return };
+        (entry.stage, entry.leaving) = (Stage::Held, true);
+        self.leaving += 1;
+        if let Some(task) = &entry.task {
+            task.abort();
+        }
+    }
+}
+
+/// The front sockets of the program, `most` at a time.
+pub struct Sockets {
+    most: usize,
+    table: Mutex<Table>,
+    freed: Notify,
+}
+
+impl Sockets {
+    /// None yet.
+    pub fn new(most: usize) -> Arc<Sockets> {
+        Arc::new(Sockets { most, table: Mutex::default(), freed: Notify::new() })
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until one more may be accepted. Guards usual clients against others that connect by hundreds
+    /// and say nothing, or keep for good what they used once: the oldest of these are closed.
+    pub async fn room(&self) {
+        loop {
+            let freed = self.freed.notified();
+            let now = Instant::now();
+            let from = {
+                let mut table = self.table();
+                match table.room(self.most, now) {
+                    Room::Free => return,
+                    Room::Instead(id) => {
+                        COUNTERS.front_closed_for_room.one();
+                        table.close(id);
+                        None
+                    }
+                    Room::From(from) => from,
+                }
+            };
+            match from {
+                Some(from) => tokio::select! { () = freed => {} () = sleep_until(from) => {} },
+                None => freed.await,
+            }
+        }
+    }
+
+    /// Closes the sockets whose time is up.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut table = self.table();
+        while let Some((id, count)) = table.overdue(now) {
+            count.one();
+            table.close(id);
+        }
+    }
+
+    /// A socket that was accepted.
+    pub fn enter(self: &Arc<Sockets>) -> Arc<Place> {
+        let id = self.table().enter(Instant::now());
+        Arc::new(Place { sockets: self.clone(), id })
+    }
+}
+
+/// A front socket's place; it is left when this is dropped.
+pub struct Place {
+    sockets: Arc<Sockets>,
+    id: u64,
+}
+
+impl Place {
+    /// The task that serves the socket; it is aborted to close it.
+    pub fn served_by(&self, task: AbortHandle) {
+        if let Some(entry) = self.sockets.table().open.get_mut(&self.id) {
+            entry.task = Some(task);
+        }
+    }
+
+    /// The socket has come to a stage.
+    pub fn is(&self, stage: Stage) {
+        self.sockets.table().set(self.id, stage, Instant::now());
+    }
+
+    /// It goes from one stage to the next, if it is there.
+    fn goes(&self, from: Stage, to: Stage) {
+        let mut table = self.sockets.table();
+        if table.open.get(&self.id).is_some_and(|e| e.stage == from) {
+            table.set(self.id, to, Instant::now());
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.sockets.table().leave(self.id);
+        self.sockets.freed.notify_one();
+    }
+}
+
+/// A front socket's stream, which tells its place when a request begins and when an answer is written.
+pub struct FrontStream<'a> {
+    inner: TokioIo<&'a mut TcpStream>,
+    place: Arc<Place>,
+}
+
+impl<'a> FrontStream<'a> {
+    /// The stream of the socket at `place`.
+    pub fn new(stream: &'a mut TcpStream, place: Arc<Place>) -> FrontStream<'a> {
+        FrontStream { inner: TokioIo::new(stream), place }
+    }
+}
+
+impl Read for FrontStream<'_> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let done = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if done.is_ready() {
+            self.place.goes(Stage::Idle, Stage::Unfinished);
+        }
+        done
+    }
+}
+
+impl Write for FrontStream<'_> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let done = Pin::new(&mut self.inner).poll_flush(cx);
+        if matches!(done, Poll::Ready(Ok(()))) {
+            self.place.goes(Stage::Answering, Stage::Idle);
+        }
+        done
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::fixed;
+    use proptest::prelude::*;
+
+    #[derive(Clone, Debug)]
+    enum Step {
+        Enter,
+        Is(usize, Stage),
+        Leave(usize),
+        Pass(u64),
+        Sweep,
+    }
+
+    fn step() -> impl Strategy<Value = Step> {
+        let stage = prop::sample::select(vec![Stage::Unfinished, Stage::Idle, Stage::Answering, Stage::Held]);
+        prop_oneof![
+            3 => Just(Step::Enter),
+            4 => (0usize..8, stage).prop_map(|(n, stage)| Step::Is(n, stage)),
+            1 => (0usize..8).prop_map(Step::Leave),
+            2 => (1u64..3_000).prop_map(Step::Pass),
+            1 => Just(Step::Sweep),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(fixed(512))]
+        /// Who goes for want of room or time, against a model that looks through all sockets.
+        #[test]
+        fn the_oldest_unfinished_goes_first_and_none_with_a_request(steps in prop::collection::vec(step(), 1..80)) {
+            const MOST: usize = 4;
+            let (mut table, mut now) = (Table::default(), Instant::now());
+            // Id, stage and since when; whether it was told to go.
+            let mut model: Vec<(u64, Stage, Instant, bool)> = Vec::new();
+            for step in steps {
+                match step {
+                    Step::Enter => match table.room(MOST, now) {
+                        Room::Free => {
+                            prop_assert!(model.len() < MOST);
+                            model.push((table.enter(now), Stage::Unfinished, now, false));
+                        }
+                        Room::Instead(id) => {
+                            prop_assert!(model.len() >= MOST && model.iter().all(|s| !s.3));
+                            let rank = |s: &&mut (u64, Stage, Instant, bool)| (s.1 == Stage::Idle, s.2, s.0);
+                            let may = |s: &&mut (u64, Stage, Instant, bool)| {
+                                matches!(s.1, Stage::Unfinished | Stage::Idle) && s.2 + LEAST_WAIT <= now
+                            };
+                            let first = model.iter_mut().filter(may).min_by_key(rank).expect("one may go");
+                            prop_assert_eq!(first.0, id);
+                            first.3 = true;
+                            table.close(id);
+                        }
+                        Room::From(_) => prop_assert!(model.len() >= MOST),
+                    },
+                    Step::Is(n, stage) => if let Some(socket) = model.get_mut(n) {
+                        table.set(socket.0, stage, now);
+                        if !socket.3 {
+                            (socket.1, socket.2) = (stage, now);
+                        }
+                    },
+                    Step::Leave(n) => if n < model.len() {
+                        table.leave(model.remove(n).0);
+                    },
+                    Step::Pass(ms) => now += Duration::from_millis(ms),
+                    Step::Sweep => {
+                        while let Some((id, _)) = table.overdue(now) {
+                            table.close(id);
+                            model.iter_mut().filter(|s| s.0 == id).for_each(|s| s.3 = true);
+                        }
+                        for (_, stage, since, left) in &model {
+                            let late = stage.limit().is_some_and(|(limit, _)| *since + limit <= now);
+                            prop_assert!(*left || !late);
+                            prop_assert!(*stage != Stage::Held || !*left || late, "a request is with the module");
+                        }
+                    }
+                }
+                prop_assert_eq!(table.leaving, model.iter().filter(|s| s.3).count());
+                prop_assert_eq!(table.open.len(), model.len());
+                let timed = model.iter().filter(|s| !s.3 && s.1 != Stage::Held).count();
+                prop_assert_eq!(table.since.iter().map(BTreeSet::len).sum::<usize>(), timed);
+            }
+        }
+    }
+}
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -342,6 +342,11 @@
         self.reader.get_mut().write_all(text.as_bytes()).expect("the limiter reads");
     }
 
+    /// Writes for as long as the limiter reads.
+    pub fn pour(&mut self, bytes: &[u8]) {
+        while self.reader.get_mut().write_all(bytes).is_ok() {}
+    }
+
     /// The next answer; `None` where the limiter closes without one.
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.reader)
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -55,6 +55,10 @@
     let (mut limiter, _push) = limiter(vec![destination.entry("s-1", "Ready")]);
     let (get, post) = (read("large", 1), send("a thesis"));
     let long = "x".repeat((64 << 10) + 1);
+    let metering = |said: &str| (get.replace("units=1,spread=1,first=0", said), 400);
+    let twice = |line: &str| (get.replace("Host:", &format!("{line}\r\nHost:")), 400);
+    let hidden = format!("0\r\n\r\n{get}");
+    let length = |lines: &str| (post.replace("Content-Length: 8", lines).replace("a thesis", &hidden), 400);
     for (request, status) in [
         (get.replace("/read/", "/lend/"), 404),
         (get.replace("/read/00000000b4d65521", "/read"), 404),
@@ -64,21 +68,97 @@
         (get.replace("/00000000b4d65521", "/ffffffffb4d65521"), 400),
         (get.replace("X-Class: read", "X-Class: send"), 400),
         (get.replace("X-Contract: large", "X-Contract: huge"), 400),
-        (get.replace("X-Request-Id", "X-Other-Id"), 400),
         (get.replace("X-Request-Id: ", "X-Request-Id: \r\nX-Other-Id: "), 400),
+        (get.replace("X-Request-Id", "X-Other-Id"), 400),
         (get.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: soon"), 400),
-        (get.replace("units=1", "units=NaN"), 400),
-        (get.replace(",spread=1", ""), 400),
+        (get.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: +8000"), 400),
+        metering("units=NaN,spread=1,first=0"),
+        metering("units=inf,spread=1,first=0"),
+        metering("units=-1,spread=1,first=0"),
+        metering("units=0,spread=1,first=0"),
+        metering("units=4.5,spread=1,first=0"),
+        metering("units=1,first=0"),
+        metering("units=1,spread=0,first=0"),
+        metering("units=1,spread=2,first=0"),
+        metering("units=1,spread=1,first=1"),
+        metering("units=1,spread=1,first=-1"),
+        metering("units=1,units=2,spread=1,first=0"),
+        twice("X-Class: read"),
+        twice("X-Contract: small"),
+        twice("X-Request-Id: another"),
+        twice("X-Deadline-Ms: 8000"),
+        twice("X-Metering: units=1,spread=1,first=0"),
         (get.replace("GET", "DELETE"), 400),
+        (get.replace("Host:", "Content-Length: 4\r\nHost:") + "body", 400),
         (post.replace("Idempotency-Key", "X-Key"), 400),
         (post.replace("Content-Length: 8", "Content-Length: 65537").replace("a thesis", &long), 413),
+        length("Content-Length: 5\r\nTransfer-Encoding: chunked"),
+        length("Transfer-Encoding: chunked\r\nContent-Length: 5"),
+        length("Content-Length: 5\r\nContent-Length: 6"),
+        length("Content-Length: -5"),
+        length("Content-Length: 99999999999999999999"),
     ] {
-        assert_eq!(limiter.ask(&request).status(), status, "{}", &request[..request.len().min(400)]);
+        let mut client = limiter.connect();
+        assert_eq!(client.ask(&request).status(), status, "{}", &request[..request.len().min(400)]);
+        assert!(client.answer().is_none(), "nothing behind it is read as a request");
     }
     assert!(limiter.counters().contains(" taken=0 "));
     assert_eq!(destination.count(), 0);
 }
 
+/// A client that goes on sending can read its error, and what it sends is not read without end.
+#[test]
+fn an_error_survives_a_client_that_still_sends() {
+    let (limiter, _push) = limiter(vec![]);
+    let mut client = limiter.connect();
+    client.write(&send("").replace("Content-Length: 0", "Content-Length: 60000000"));
+    client.write(&"x".repeat(100_000));
+    assert_eq!(client.answer().expect("the error").status(), 413);
+    client.pour(&[b'x'; 4096]);
+}
+
+#[test]
+fn the_id_of_an_open_request_is_taken_by_nobody_else() {
+    let (destination, release) = Destination::holding();
+    let (limiter, _push) = limiter(vec![destination.entry("s-1", "Ready")]);
+    let mut client = limiter.connect();
+    let request = read("large", 1);
+    client.write(&request);
+    destination.until_asked();
+    assert_eq!(limiter.ask(&request).status(), 409);
+    release.send(()).unwrap();
+    assert_eq!(client.answer().expect("it was first").status(), 200);
+    assert_eq!(destination.count(), 1);
+}
+
+/// Neither silent sockets, nor halves of requests, nor sockets kept after one request keep a client out.
+#[test]
+fn clients_get_in_past_sockets_that_say_nothing_more() {
+    let destination = Destination::answering("a report");
+    let (discovery, _push) = discovery();
+    let (counter, _) = counter(true);
+    let mut config = config(discovery, counter, vec![destination.entry("s-1", "Ready")]);
+    config["limits"]["sockets"] = json!(96);
+    let mut limiter = Limiter::start(&config);
+    let mut kept = Vec::new();
+    for round in 0..120 {
+        let mut client = limiter.connect();
+        match round % 4 {
+            0 => assert_eq!(client.ask(&read("large", 1)).status(), 200),
+            1 => client.write("GET /read/00"),
+            2 => client.write(&send("a thesis")[..200]),
+            _ => {}
+        }
+        kept.push(client);
+    }
+    assert_eq!(limiter.ask(&read("large", 1)).status(), 200);
+    assert!(!limiter.counters().contains(" front_closed_for_room=0 "));
+    // What was not closed for room is closed once its time is up.
+    for mut client in kept {
+        while client.answer().is_some() {}
+    }
+}
+
 #[test]
 fn a_body_of_64_kib_is_carried() {
     let destination = Destination::answering("a report");
