Look at a destination's connection for stray bytes before each request

Seen: a test on real sockets in which a copy of an answer comes behind it before the runtime has polled: the next request was served with the copy (body "ok" in place of "no"). The window is in destination.rs, poll_write: hyper notices stray bytes on an idle connection only when the runtime tells it so.

Checked with hyper itself, by the model test of route steps (noise, heads and bodies without end, differing and negative lengths, 1xx ahead, noise or a copy right behind, a load report that can't be read): resets and reuse were right but for an answer with both Content-Length and Transfer-Encoding, which was served, and X-Settled: inf, which reached the decisions.

Now: before the first byte of a request on a connection that served before, one peek at its socket; anything there, or an end, and the step goes on another connection, as nothing was written. Two framings are a reset and poison the connection. Heads of answers are held to 64 KiB; figures that are not finite are none.

--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -22,6 +23,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use sedgestack::platform::Names;
 use sedgestack::{BackendId, LoadReport, Outcome, RequestId};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout_at, Instant};
@@ -32,6 +34,8 @@
 
 /// The largest body that the platform knows.
 pub const LARGEST_BODY: usize = 64 << 10;
+/// A head longer than this is no answer's.
+const LARGEST_HEAD: usize = 64 << 10;
 /// Route steps that may wait in a destination's mailbox.
 const MAILBOX: usize = 1024;
 /// Idle connections are retired after this part of the time at which the other side closes them.
@@ -159,6 +163,11 @@
         !(closed && self.between_requests())
     }
 
+    /// Whether it served before, and then took no byte of the request that it was given.
+    fn ended_idle(&self) -> bool {
+        self.started.load(Relaxed) > 0 && self.between_requests()
+    }
+
     fn whole(&self, body: usize) -> bool {
         self.head.load(Relaxed) == BLANK && self.body.load(Relaxed) >= body as u64
     }
@@ -217,8 +226,19 @@
 
 impl Counted {
     fn check(&self) -> io::Result<()> {
-        let may = self.wire.may_write(self.closed.load(Relaxed));
-        may.then_some(()).ok_or_else(|| io::Error::other("the destination drains"))
+        if !self.wire.may_write(self.closed.load(Relaxed)) {
+            return Err(io::Error::other("the destination drains"));
+        }
+        // Guards answers: bytes that wait here before a request belong to none, and would be read as its
+        // answer. The runtime may not have seen them yet, nor that the other side has closed.
+        if self.wire.ended_idle() {
+            let mut byte = [MaybeUninit::uninit()];
+            let seen = SockRef::from(self.inner.inner()).peek(&mut byte);
+            if !seen.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                return Err(io::Error::other("the connection is of no further use"));
+            }
+        }
+        Ok(())
     }
 }
 
@@ -337,6 +357,7 @@
         let pool = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(fleet.keepalive / RETIRE)
+            .http1_max_buf_size(LARGEST_HEAD)
             .retry_canceled_requests(false)
             .build(dialer);
         Destination {
@@ -397,21 +418,12 @@
         }
     }
 
-    fn uri(&self, path: PathAndQuery) -> Uri {
-        let mut parts = axum::http::uri::Parts::default();
-        parts.scheme = Some(Scheme::HTTP);
-        parts.authority = Some(self.authority.clone());
-        parts.path_and_query = Some(path);
-        Uri::from_parts(parts).expect("scheme, authority and path make an address")
-    }
-
-    /// One attempt, from finding a connection to the answer's last byte. Its deadline, and a cancel, drop
-    /// the exchange, and the client closes a connection whose exchange was dropped.
-    fn step(&self, step: RouteStep) -> impl Future<Output = StepEnd> + Send + 'static {
-        let forward = step.forward.clone();
+    /// What an attempt writes.
+    fn request(authority: &Authority, step: &RouteStep) -> Request<Full<Bytes>> {
+        let forward = &step.forward;
         let mut request = Request::new(Full::new(forward.body.clone()));
         *request.method_mut() = forward.method.clone();
-        *request.uri_mut() = self.uri(forward.path.clone());
+        *request.uri_mut() = uri(authority, forward.path.clone());
         let headers = request.headers_mut();
         headers.insert(X_REQUEST_ID, forward.id.value().clone());
         if let Some(key) = &forward.key {
@@ -422,22 +434,37 @@
         if forward.method != Method::GET {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
         }
-        let (pool, fleet, closed) = (self.pool.clone(), self.fleet.clone(), self.closed.clone());
+        request
+    }
+
+    /// One attempt, from finding a connection to the answer's last byte. Its deadline, and a cancel, drop
+    /// the exchange, and the client closes a connection whose exchange was dropped.
+    fn step(&self, step: RouteStep) -> impl Future<Output = StepEnd> + Send + 'static {
+        let (pool, authority) = (self.pool.clone(), self.authority.clone());
+        let (fleet, closed) = (self.fleet.clone(), self.closed.clone());
         async move {
             let mut end = StepEnd::bare(step.request, step.attempt, Outcome::NotSent, Duration::ZERO);
             // Guards drains: a step may have waited in the mailbox while its destination began to drain.
-            if !closed.load(Relaxed) {
+            while !closed.load(Relaxed) {
+                let mut request = Self::request(&authority, &step);
                 let used = capture_connection(&mut request);
-                let body = forward.body.len();
+                let body = step.forward.body.len();
                 let exchange = exchange(&pool, request, &used, body, &fleet.names, &mut end);
                 end.outcome = match timeout_at(step.deadline, exchange).await {
                     Ok(Outcome::ConnectFailed) if closed.load(Relaxed) => Outcome::NotSent,
+                    // Guards against blaming a destination for a connection that ended while it stood idle:
+                    // nothing was written to it, and there are others.
+                    Ok(Outcome::ConnectFailed) if wire(&used).is_some_and(|w| w.ended_idle()) => {
+                        COUNTERS.steps_redialled.one();
+                        continue;
+                    }
                     Ok(outcome) => outcome,
                     // Guards repeats: without a connection nothing was written; with one, the client may
                     // yet write what it holds before it closes.
                     Err(_) if wire(&used).is_none() => Outcome::ConnectFailed,
                     Err(_) => Outcome::TimedOut,
                 };
+                break;
             }
             end.latency = step.begun.elapsed();
             end
@@ -446,7 +473,7 @@
 
     fn probe(&self, deadline: Instant) -> impl Future<Output = (Outcome, LoadReport)> + Send + 'static {
         let mut request = Request::new(Full::default());
-        *request.uri_mut() = self.uri(PathAndQuery::from_static("/health"));
+        *request.uri_mut() = uri(&self.authority, PathAndQuery::from_static("/health"));
         let (pool, fleet) = (self.pool.clone(), self.fleet.clone());
         async move {
             match timeout_at(deadline, pool.request(request)).await {
@@ -463,6 +490,14 @@
 }
 
 /// Tells the module how a route step ended.
+fn uri(authority: &Authority, path: PathAndQuery) -> Uri {
+    let mut parts = axum::http::uri::Parts::default();
+    parts.scheme = Some(Scheme::HTTP);
+    parts.authority = Some(authority.clone());
+    parts.path_and_query = Some(path);
+    Uri::from_parts(parts).expect("scheme, authority and path make an address")
+}
+
 async fn tell(module: &mpsc::Sender<Mail>, end: StepEnd) {
     match end.outcome {
         Outcome::Ok => &COUNTERS.steps_ok,
@@ -502,10 +537,16 @@
         wire.answered(body);
     }
     let (head, content) = answer.into_parts();
+    // Guards answers: which of two framings was meant nobody can tell, nor where the next answer begins.
+    let framings = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING].map(|n| head.headers.contains_key(n));
+    if framings == [true, true] {
+        used.connection_metadata().as_ref().inspect(|c| c.poison());
+        return Outcome::Reset;
+    }
     end.report = report(&head.headers, names);
     let figure = |name| head.headers.get(name)?.to_str().ok()?.parse::<f64>().ok();
-    end.metered = figure(X_METER).filter(|f| *f >= 1.0).map(|f| (f - 1.0) / 100.0);
-    end.cost = figure(X_SETTLED).filter(|f| *f > 0.0);
+    end.metered = figure(X_METER).filter(|f| *f >= 1.0 && f.is_finite()).map(|f| (f - 1.0) / 100.0);
+    end.cost = figure(X_SETTLED).filter(|f| *f > 0.0 && f.is_finite());
     match Limited::new(content, LARGEST_BODY).collect().await {
         Ok(content) if head.status == StatusCode::OK => {
             end.body = Some(content.to_bytes());
@@ -609,9 +650,26 @@
         Half,
         Silent,
         Cancel,
+        /// Good answers, with more than belongs to them.
+        Early,
+        Odd,
+        Behind,
+        Twice,
+        /// Spoilt answers on a connection that stays open.
+        Noise,
+        Endless,
+        Huge,
+        Lengths,
+        Framings,
+        Negative,
     }
     use Conduct::*;
 
+    const ALL: [Conduct; 18] = [
+        Serve, TurnAway, PlainBusy, Error, Close, Half, Silent, Cancel, Early, Odd, Behind, Twice, Noise,
+        Endless, Huge, Lengths, Framings, Negative,
+    ];
+
     impl Conduct {
         fn answer(self) -> &'static [u8] {
             match self {
@@ -621,6 +679,28 @@
                 Error => b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
                 Half => b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
                 Close | Silent | Cancel => b"",
+                Early => {
+                    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n\
+                    HTTP/1.1 200 OK\r\nX-Load: util=0.5\r\nContent-Length: 2\r\n\r\nok"
+                }
+                Odd => {
+                    b"HTTP/1.1 200 OK\r\nX-Load: util=much\r\nX-Meter: NaN\r\nX-Settled: inf\r\n\
+                    Content-Length: 2\r\n\r\nok"
+                }
+                Behind => b"HTTP/1.1 200 OK\r\nX-Load: util=0.5\r\nContent-Length: 2\r\n\r\nok\x07\x00noise",
+                Twice => {
+                    b"HTTP/1.1 200 OK\r\nX-Load: util=0.5\r\nContent-Length: 2\r\n\r\nok\
+                    HTTP/1.1 200 OK\r\nX-Load: util=0.5\r\nContent-Length: 2\r\n\r\nok"
+                }
+                Noise => b"\x16\x03\x01 no answer at all\r\n\r\n",
+                Endless => b"HTTP/1.1 200 OK\r\nX-More: and more",
+                Huge => b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand more",
+                Lengths => b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+                Framings => {
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n\
+                    2\r\nok\r\n0\r\n\r\n"
+                }
+                Negative => b"HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok",
             }
         }
 
@@ -630,6 +710,9 @@
                 Serve => (Outcome::Ok, true),
                 TurnAway => (Outcome::Rejected, true),
                 PlainBusy | Error => (Outcome::Error, true),
+                Early | Odd => (Outcome::Ok, true),
+                Behind | Twice => (Outcome::Ok, false),
+                Noise | Endless | Huge | Lengths | Framings | Negative => (Outcome::Reset, false),
                 Close | Half => (Outcome::Reset, false),
                 Silent => (Outcome::TimedOut, false),
                 Cancel => (Outcome::Canceled, false),
@@ -652,11 +735,13 @@
                     if !text.ends_with("\r\n\r\nbody") {
                         continue;
                     }
-                    let all = [Serve, TurnAway, PlainBusy, Error, Close, Half, Silent, Cancel];
-                    let conduct = all.iter().find(|c| text.starts_with(&format!("POST /{c:?} "))).unwrap();
+                    let conduct = ALL.iter().find(|c| text.starts_with(&format!("POST /{c:?} "))).unwrap();
                     text.clear();
                     let _ = told.send("read");
                     let _ = stream.write_all(conduct.answer()).await;
+                    // What has no end goes on for as long as it is read.
+                    while matches!(conduct, Endless | Huge) && stream.write_all(&[b'x'; 4096]).await.is_ok() {
+                    }
                     if matches!(conduct, Close | Half) {
                         break;
                     }
@@ -722,8 +807,10 @@
             let end = end(&mut mail).await;
             let (outcome, again) = conduct.proves();
             assert_eq!((end.attempt, end.outcome), (attempt, outcome), "{conduct:?}");
-            assert_eq!(end.body.is_some(), conduct == Serve);
-            assert_eq!(end.report.utilization.is_some(), conduct == Serve);
+            let good = outcome == Outcome::Ok;
+            assert_eq!(end.body.as_deref(), good.then_some(&b"ok"[..]), "{conduct:?}");
+            assert_eq!(end.report.utilization.is_some(), good && conduct != Odd, "{conduct:?}");
+            assert_eq!((end.metered, end.cost), (None, None), "{conduct:?}");
             // Guards against an attempt that goes on unseen: its connection ends with it.
             if !again {
                 assert_eq!(news.recv().await, Some("ended"), "{conduct:?}");
@@ -744,7 +831,7 @@
         #[test]
         fn steps_end_as_their_destination_did(
             conducts in prop::collection::vec(
-                prop::sample::select(vec![Serve, Serve, TurnAway, PlainBusy, Error, Close, Half, Silent, Cancel]),
+                prop::sample::select(ALL.to_vec()),
                 1..12,
             )
         ) {
@@ -772,6 +859,31 @@
         assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0, "nothing was written");
     }
 
+    /// A copy of an answer that comes behind it, before the runtime looks, is not the next request's answer.
+    #[tokio::test]
+    async fn bytes_that_wait_before_a_request_are_not_its_answer() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (fleet, mut mail) = fleet();
+        let handle = Handle::start("s-1".into(), listener.local_addr().unwrap(), fleet);
+        let mut streams = Vec::new();
+        for (attempt, answer) in [b"ok", b"no"].into_iter().enumerate() {
+            handle.order(Order::Step(a_step(Serve, attempt as u32, LONG)));
+            let (mut stream, _) = tokio::select! {
+                accepted = listener.accept() => accepted.unwrap(),
+                end = end(&mut mail) => panic!("answered by what came before: {end:?}"),
+            };
+            let mut text = Vec::new();
+            while !text.ends_with(b"\r\n\r\nbody") {
+                stream.read_buf(&mut text).await.unwrap();
+            }
+            let head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+            stream.write_all(&[&head[..], answer].concat()).await.unwrap();
+            assert_eq!(end(&mut mail).await.body.as_deref(), Some(&answer[..]));
+            stream.try_write(Serve.answer()).unwrap();
+            streams.push(stream);
+        }
+    }
+
     #[tokio::test]
     async fn a_probe_tells_the_load() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -72,6 +72,8 @@
     steps_reset,
     steps_canceled,
     steps_not_sent,
+    /// Route steps given a connection that had ended while it stood idle, and then another one.
+    steps_redialled,
     /// Connections opened to destinations, and dials that failed.
     dials,
     dials_failed,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -67,7 +67,8 @@
         for pair in text.split(',').map(str::trim).filter(|p| !p.is_empty() && *p != "-") {
             let (name, value) =
                 pair.split_once(mark).ok_or_else(|| format!("'{pair}' is not name{mark}value"))?;
-            let value: f64 = value.parse().map_err(|_| format!("'{value}' is not a number"))?;
+            let number = value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
+            let value = number.ok_or_else(|| format!("'{value}' is no figure of a load report"))?;
             if !self.columns.iter().any(|c| c == name) {
                 continue;
             }
