Owe nothing on overrun stores, weigh the told use, rest the counter shortly

At fault in choice.rs: `counted` let a store fall to minus its burst, though what goes beyond a quota takes nothing from it; `counter_failed` rested 500 ms after a single loss and kept 250 calls saved up; `counted` let the pace of calls rise by 5 a second with each answer, so that cuts never lasted; `observe` left the told use of backends unread; `customer` kept the plan and set that the first request named.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,8 +41,12 @@
 const UNUSED_FULL: f64 = 0.5;
 /// A reading tells of a customer's use for this long.
 const READING_KEEPS: Micros = 2_000_000;
-/// After a counter call without an answer, nothing waits for the counter for this long.
-const COUNTER_REST: Micros = 500_000;
+/// After a counter call without an answer, nothing waits for the counter for this long, doubled so often at
+/// most where more follow: one answer lost is not yet a counter that is down.
+const COUNTER_REST: Micros = 62_500;
+const MOST_COUNTER_DOUBLINGS: u32 = 3;
+/// Calls saved up at most once a call has failed, in seconds of their rate.
+const CALLS_AT_ONCE: f64 = 0.1;
 /// Counter names change this often, everywhere at once: one reading then tells all use since a known moment.
 const COUNT_WINDOW: Micros = 8_000_000;
 /// Idle customers with a full bucket are dropped after this long: longer than a burst takes to refill.
@@ -99,6 +103,10 @@
 const MOST_RETRIES: f64 = 10.0;
 /// A backend once slow is tried again as this memory fades.
 const SLOW_MEMORY: f64 = 8.0 * SECOND;
+/// How much the use of a backend that it told, against the mean, counts in a choice, and for how long.
+const USE_WEIGHT: f64 = 1.0;
+const USE_MEMORY: f64 = 0.5 * SECOND;
+const LEAST_USE: f64 = 0.2;
 /// Crossing zones costs little: only a backend this much better is worth it.
 const CROSS_ZONE: f64 = 1.15;
 
@@ -227,6 +235,15 @@
             ..Customer::default()
         });
         entry.seen = now;
+        if (entry.plan, entry.spread) != (request.plan, spread) {
+            // Guards usual customers: who first spoke in a customer's name does not settle its plan and set
+            // for good. Nothing is refilled, so that changing them to and fro gains nothing.
+            (entry.plan, entry.spread) = (request.plan, spread);
+            (entry.bucket.rate, entry.bucket.room) = (quota.rate / spread, even);
+            entry.bucket.level = entry.bucket.level.min(even);
+            entry.store = entry.store.min(quota.burst);
+            (entry.ceiling.rate, entry.ceiling.room) = (rate, room);
+        }
     }
 
     /// Takes a request's units from its customer's slice, or refuses it.
@@ -330,10 +347,18 @@
 
     fn counter_failed(&mut self) {
         if self.now >= self.counter_down_until {
-            self.calls.rate =
-                (self.calls.rate * CALLS_CUT).max(LEAST_CALLS / f64::from(self.settings.gateways));
+            let least = LEAST_CALLS / f64::from(self.settings.gateways);
+            self.calls.rate = (self.calls.rate * CALLS_CUT).max(least);
+            self.counter_troubles += 1;
+            if !self.thin {
+                self.calls.room = (self.calls.rate * CALLS_AT_ONCE).max(1.0 + CALLS_SPARED);
+                self.calls.level = self.calls.level.min(1.0);
+            }
         }
-        self.counter_down_until = self.now + COUNTER_REST;
+        // Many gateways crowd a counter together, however few calls each makes.
+        let troubles = if self.thin { u32::MAX } else { self.counter_troubles };
+        let doublings = troubles.saturating_sub(1).min(MOST_COUNTER_DOUBLINGS);
+        self.counter_down_until = self.now + (COUNTER_REST << doublings);
         self.at(self.counter_down_until, Wake::Release);
     }
 
@@ -393,8 +418,10 @@
         let Some((amount, window)) = c.tally.in_flight.take() else { return };
         match (outcome, total) {
             (Outcome::Ok, Some(total)) => {
-                self.counter_down_until = 0;
-                self.calls.rate += CALLS_RISE / f64::from(self.settings.gateways);
+                (self.counter_down_until, self.counter_troubles) = (0, 0);
+                // Few gateways feel for what the counter bears by a steady rise a second, not one a call.
+                let by = if self.thin { 1.0 } else { self.calls.rate };
+                self.calls.rate += CALLS_RISE / f64::from(self.settings.gateways) / by;
                 c.tally.added += amount;
                 let age = now.saturating_sub(window * COUNT_WINDOW).max(1) as f64;
                 let reading = match c.tally.last {
@@ -418,7 +445,10 @@
                     let (gained, used) = if self.thin { (age, total) } else { (span, used) };
                     let before = if self.thin { came_with(quota, total, age / SECOND) } else { c.store };
                     let store = before + quota.rate * gained / SECOND - used;
-                    c.store = store.clamp(-quota.burst, quota.burst);
+                    // Guards against refusals with room: what was sent beyond the quota took nothing from its
+                    // store. Where gateways are many, questions are refused by what is missing.
+                    let least = if self.thin { -quota.burst } else { 0.0 };
+                    c.store = store.clamp(least, quota.burst);
                     slice(c, quota, self.settings.max_units, now);
                 }
                 c.tally.added = 0.0;
@@ -625,9 +655,12 @@
             let silence = b.flights.first().map_or(0.0, silent);
             let age = self.now.saturating_sub(b.heard) as f64;
             let slowness = (1.0 + (b.slowness - 1.0) * (-age / SLOW_MEMORY).exp()).max(silence / 3.0);
+            // What the others send shows in the use that it told, for as long as that is news.
+            let news = (-(self.now.saturating_sub(b.told_at) as f64) / USE_MEMORY).exp();
+            let busier = (1.0 + USE_WEIGHT * news * (b.use_told - self.mean_use)).max(LEAST_USE);
             let cross = if b.zone == self.settings.zone { 1.0 } else { CROSS_ZONE };
             let noise = 1.0 + 0.05 * (mix(self.phase ^ b.key ^ id) as f64 / u64::MAX as f64);
-            let score = slowness * (b.flights.len() as f64 + 1.0) / share * cross * noise;
+            let score = slowness * (b.flights.len() as f64 + 1.0) / share * busier * cross * noise;
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, name));
             }
@@ -743,6 +776,10 @@
         let (now, lapse, latency) = (self.now, self.lapse, end.latency as f64);
         let expected = &mut self.expected[flight.class];
         let Some(b) = self.backends.get_mut(&flight.backend) else { return };
+        if let Some(use_told) = end.report.utilization {
+            (b.use_told, b.told_at) = (use_told, now);
+            self.mean_use += MEAN_WEIGHT * (use_told - self.mean_use);
+        }
         b.flights.remove(&(flight.sent, end.request, end.attempt, flight.class));
         match end.outcome {
             Outcome::Ok | Outcome::TimedOut => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,9 @@
     pub pressure: f64,
     pub slowness: f64,
     pub heard: Micros,
+    /// How busy its cores are, as it last told, and when it did.
+    pub use_told: f64,
+    pub told_at: Micros,
     pub limit: f64,
     pub cut_at: Micros,
     pub troubles: u32,
@@ -170,6 +173,8 @@
     /// Attempts out of late, on average, and the microseconds that they took since the last measure.
     pub(crate) mean_out: f64,
     pub(crate) lasted: f64,
+    /// Mean of the use that backends tell.
+    pub(crate) mean_use: f64,
     /// Sends of late, a second.
     pub(crate) send_rate: f64,
     pub(crate) sends: f64,
@@ -182,6 +187,8 @@
     /// Share of late of the asked requests that found nothing left.
     pub(crate) empties: f64,
     pub(crate) counter_down_until: Micros,
+    /// Failures since the counter last answered, those of one rest as one.
+    pub(crate) counter_troubles: u32,
 }
 
 /// Rejects settings that cannot be meant.
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -169,6 +169,24 @@
     assert!(bad * 10 < all, "{bad} of {all} went to a backend that errs at once");
 }
 
+/// What other gateways send is seen in nothing else.
+#[test]
+fn who_tells_that_it_is_busy_gets_less() {
+    let mut g = gateway(settings(), 2);
+    let mut calm = 0;
+    for id in 0..60u64 {
+        let now = START + id * 20 * MS;
+        let sent = sends(&g.handle(now, &[request(id, 0, 0)]));
+        let busy = &*sent[0].1 == "b0";
+        calm += u32::from(!busy);
+        let report = LoadReport { utilization: Some(if busy { 0.9 } else { 0.2 }), ..LoadReport::default() };
+        let e = AttemptEnd { latency: 10 * MS, report, ..over(id, 0, Outcome::Ok, true) };
+        g.handle(now + 10 * MS, &[Event::AttemptEnded(e)]);
+    }
+    // Not none to the busy one: its news grows old, and one answer tells anew.
+    assert!((45..60).contains(&calm), "{calm} of 60 to the calm one");
+}
+
 #[test]
 fn silence_does_not_read_as_health() {
     let mut g = gateway(settings(), 0);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -30,6 +30,56 @@
     assert_eq!(*retry_after, 200 * MS);
 }
 
+/// What was sent on beyond a quota took nothing from its store, so there is no debt to wait out.
+#[test]
+fn a_store_that_was_overrun_fills_from_nothing() {
+    let mut g = gateway(settings(), 4);
+    let name = burst(&mut g, START, 0, 4).1[0].0;
+    g.handle(START + MS, &[answer(name, 4.0)]);
+    g.handle(START + 1_000 * MS, &[request(10, 0, 1)]);
+    g.handle(START + 2_000 * MS, &[end(10, 0, Outcome::Ok, true)]);
+    g.handle(START + 2_001 * MS, &[answer(name, 90.0)]);
+    // Half a second at a rate of 10 over two gateways.
+    assert_eq!(sends(&g.handle(START + 2_501 * MS, &[request(20, 0, 1)])).len(), 1);
+}
+
+/// One answer lost, as with a connection that broke, does not blind a gateway for half a second; many do.
+#[test]
+fn the_counter_is_called_again_soon_after_one_failure_and_later_after_many() {
+    let mut g = gateway(settings(), 4);
+    let mut now = START;
+    let mut waits = Vec::new();
+    let mut name = burst(&mut g, now, 0, 4).1[0].0;
+    for _ in 0..6 {
+        let failed = now;
+        let lost = Event::CounterAnswered { name, outcome: Outcome::ConnectFailed, total: None };
+        let mut calls = counts(&g.handle(now, &[lost]));
+        while calls.is_empty() {
+            now += 5 * MS;
+            calls = counts(&g.handle(now, &[Event::Timer]));
+        }
+        name = calls[0].0;
+        waits.push((now - failed) / MS);
+    }
+    assert!(waits[0] <= 150 && waits[5] >= 500, "{waits:?}");
+}
+
+/// A customer is held to what its requests say, not to what somebody said first in its name.
+#[test]
+fn the_first_to_name_a_customer_does_not_settle_its_plan() {
+    let mut g = gateway(settings(), 4);
+    let small = Request { units: 4.0, spread: 1, ..taken(1, 0, 1) };
+    let actions = g.handle(START, &[Event::Request(small)]);
+    g.handle(START, &ends(&actions, Outcome::Ok));
+    let mut sent = 0;
+    for id in 10..60 {
+        let actions = g.handle(START, &[request(id, 0, 0)]);
+        sent += sends(&actions).len();
+        g.handle(START, &ends(&actions, Outcome::Ok));
+    }
+    assert_eq!(sent, 50, "its plan has no limits");
+}
+
 #[test]
 fn use_is_told_to_the_counter_once_and_in_full() {
     let mut g = gateway(settings(), 4);
