Let no unreadable entry, full pool or late turn cost more than itself

Read beside the protocol, each shown by a test that fails without it: one entry of the pool config that can't be read ended the watch and lost the others (list.rs, feed); it is counted and skipped, and a whole list with such an entry takes nobody for gone.

--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -9,6 +9,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use sedgestack::{BackendState, Listed};
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -27,15 +28,29 @@
 const LONGEST_LINE: usize = 4 << 20;
 
 /// A pool config as discovery words it: the whole, or the entries that changed.
-#[derive(Deserialize, Default)]
-pub struct WireList {
+#[derive(Deserialize)]
+pub struct WireList<S = WireServer> {
     version: u64,
     full: bool,
-    servers: Vec<WireServer>,
+    servers: Vec<S>,
+}
+
+impl Default for WireList {
+    fn default() -> Self {
+        WireList { version: 0, full: false, servers: Vec::new() }
+    }
 }
 
+/// An entry as a watch words it. Guards the others in its line against one that can't be read.
 #[derive(Deserialize)]
-struct WireServer {
+#[serde(untagged)]
+enum WireItem {
+    Server(WireServer),
+    Unreadable(IgnoredAny),
+}
+
+#[derive(Deserialize)]
+pub struct WireServer {
     id: String,
     addr: SocketAddr,
     #[serde(default)]
@@ -104,6 +119,24 @@
     }
 }
 
+impl From<WireList<WireItem>> for Change {
+    fn from(list: WireList<WireItem>) -> Change {
+        let told = list.servers.len();
+        let server = |item| match item {
+            WireItem::Server(server) => Some(server),
+            WireItem::Unreadable(_) => None,
+        };
+        let servers: Vec<WireServer> = list.servers.into_iter().filter_map(server).collect();
+        let unreadable = told - servers.len();
+        if unreadable > 0 {
+            COUNTERS.list_unreadable.add(unreadable as u64);
+            say!("list: version {}: {unreadable} entries can't be read", list.version);
+        }
+        // Whom an entry that can't be read meant nobody knows, so nobody is gone for not being named.
+        WireList { version: list.version, full: list.full && unreadable == 0, servers }.into()
+    }
+}
+
 /// The lines of a watch, put together from what arrives.
 #[derive(Default)]
 struct Lines {
@@ -120,7 +153,8 @@
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
-            let list: WireList = serde_json::from_slice(&line).map_err(|e| format!("a line: {e}"))?;
+            let list: WireList<WireItem> =
+                serde_json::from_slice(&line).map_err(|e| format!("a line: {e}"))?;
             changes.push(list.into());
         }
         if self.rest.len() > LONGEST_LINE {
@@ -261,6 +295,16 @@
         }
     }
 
+    /// The others stand, and none is taken for gone as its entry could not be read.
+    #[test]
+    fn an_entry_that_cannot_be_read_costs_only_itself() {
+        let text = line(7).replace("\"servers\":[", "\"servers\":[{\"id\":\"s-8\",\"state\":\"Odd\"},3,");
+        let text = text.replace("\"full\":false", "\"full\":true");
+        let changes = Lines::default().feed(text.as_bytes()).expect("a line");
+        let ids = changes[0].entries.iter().map(|e| &*e.listed.backend);
+        assert_eq!((changes[0].version, changes[0].whole, ids.collect::<Vec<_>>()), (7, false, vec!["s-7"]));
+    }
+
     #[test]
     fn a_line_that_is_no_pool_config_ends_the_watch() {
         assert!(Lines::default().feed(b"{\"version\":1}\n").is_err());
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -88,6 +88,8 @@
     /// Changes of the list, and watches opened.
     list_changes,
     list_watches,
+    /// Entries of the list that could not be read.
+    list_unreadable,
     peer_sent,
     peer_received,
     /// Reloads of the configuration, and those refused for a fault in it.
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep_until, Instant};
 
 use super::metrics::{Count, COUNTERS};
@@ -27,7 +27,7 @@
 /// Between requests a socket is kept for so long; it goes earlier where room runs short.
 const LONGEST_REST: Duration = Duration::from_secs(10);
 /// A socket is not closed for want of room before this: usual requests come whole within it.
-const LEAST_WAIT: Duration = Duration::from_millis(50);
+const LEAST_WAIT: Duration = Duration::from_millis(10);
 
 /// How far a front socket is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -175,20 +175,19 @@
     /// Waits until one more may be accepted. Guards usual clients against others that connect by hundreds
     /// and say nothing, or keep for good what they used once: the oldest of these are closed.
     pub async fn room(&self) {
+        let mut looked = None;
         loop {
             let freed = self.freed.notified();
-            let now = Instant::now();
-            let from = {
-                let mut table = self.table();
-                match table.room(self.most, now) {
-                    Room::Free => return,
-                    Room::Instead(id) => {
-                        COUNTERS.front_closed_for_room.one();
-                        table.close(id);
-                        None
-                    }
-                    Room::From(from) => from,
+            let from = match self.room_now(looked) {
+                Room::Free => return,
+                // Guards a request that came while this program had no turn: all sockets are read before one
+                // of them goes.
+                Room::Instead(id) => {
+                    looked = Some(id);
+                    yield_now().await;
+                    continue;
                 }
+                Room::From(from) => from,
             };
             match from {
                 Some(from) => tokio::select! { () = freed => {} () = sleep_until(from) => {} },
@@ -197,6 +196,20 @@
         }
     }
 
+    /// What room there is; one that was looked at and is still to go is told so.
+    fn room_now(&self, looked: Option<u64>) -> Room {
+        let (mut table, now) = (self.table(), Instant::now());
+        let room = table.room(self.most, now);
+        match room {
+            Room::Instead(id) if looked == Some(id) => {
+                COUNTERS.front_closed_for_room.one();
+                table.close(id);
+                table.room(self.most, now)
+            }
+            room => room,
+        }
+    }
+
     /// Closes the sockets whose time is up.
     pub fn sweep(&self) {
         let now = Instant::now();
