Serve an operators' address: health, figures, cordons and drains

Design: a second listener (ops, LB_OPS) with its own bounded accept loop, sixteen callers at once, one call a connection and 0.8 s from accept to answer, so that silent callers neither hold it nor delay others. Cordons go to the module through a mailbox of their own, never behind client mail, and into the decisions as Event::Cordon: the gateway drains a cordoned backend whatever the list says (src/cordon.rs, two lines in the policy). Figures are atomics counted where each event happens: answers at the front, whole writes in the destination, the list in the module. Quiesce is a phase between serving and stopping, so that connections close after their answer as on SIGTERM. Rejected: serving the calls on the clients' listener under a path (they would wait behind clients' descriptors and the platform's checks), and a thread of its own for the address (the runtime is not where the time goes, and a thread costs memory on a 32 MB limiter).

The front listener now binds with SO_REUSEPORT.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
+use crate::cordon::held;
 use crate::interface::*;
 use crate::state::*;
 
@@ -185,6 +186,7 @@
                     }
                 }
                 Event::Request(request) => self.arrived(request),
+                Event::Cordon { backend, out } => self.cordon(backend, *out),
                 // A stream binds the request to its attempt: no time-out and no deadline any more.
                 Event::StreamStarted { request, .. } => {
                     self.requests.entry(*request).and_modify(|r| r.bound = true);
@@ -660,7 +662,7 @@
     /// Where gateways are many, each sends to a set of the warm backends, as it hears too seldom of all to
     /// know them, and a connection of each to all costs handshakes. Who leaves is replaced by the next;
     /// cold ones come in by their budget, and a repeat of what may have run goes where it may.
-    fn choose_set(&mut self) {
+    pub(crate) fn choose_set(&mut self) {
         if !self.thin {
             return;
         }
@@ -893,7 +895,7 @@
                 *b = Backend { flights, ..fresh() };
             }
             // Guards drains: from this moment on nothing new goes there, whatever is held or retried.
-            b.state = entry.state;
+            (b.listed, b.state) = (entry.state, held(&self.cordoned, &entry.backend, entry.state));
             b.zone = entry.zone.clone();
             b.cell = entry.cell;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -186,6 +186,12 @@
     /// A list call failed or a subscription broke; the old list stands.
     DiscoveryFailed,
     Request(Request),
+    /// An operator took a backend out (`out` true) or let it back in (false). Out, it gets nothing new from
+    /// then on, whatever the list says, until it is let back; twice out and once back is back.
+    Cordon {
+        backend: BackendId,
+        out: bool,
+    },
     /// A stream started to flow; the request is bound to the attempt.
     StreamStarted {
         request: RequestId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 #![forbid(unsafe_code)]
 
 mod choice;
+mod cordon;
 mod interface;
 pub mod platform;
 mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,16 +18,20 @@
 use net::config::{self, Config};
 use net::counter::Counter;
 use net::destination::Fleet;
+use net::figures::Figures;
 use net::module::{Module, Ties};
+use net::ops::{self, Ops};
 use net::peers::Peers;
 use net::recorder::Recorder;
 use net::settings::{self, Settings};
 use net::shutdown::{Phase, Signals};
-use net::{front, list, log};
+use net::{cordons, front, list, log};
 
 /// Room of the module's mailbox and of those of the list, the counter and the peers.
 const MODULE_MAILBOX: usize = 4096;
 const SMALL_MAILBOX: usize = 256;
+/// Room of the mailbox of the operators' calls.
+const CONTROL_MAILBOX: usize = 16;
 
 async fn run(config: Config, recorder: Option<Recorder>) -> Result<(), String> {
     let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
@@ -37,12 +41,19 @@
     let (module, mailbox) = mpsc::channel(MODULE_MAILBOX);
     let (lists, changes) = mpsc::channel(SMALL_MAILBOX);
     let ready = Arc::new(AtomicBool::new(false));
+    let listener = front::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let ops_listener = match config.ops {
+        Some(address) => Some(ops::bind(address).await?),
+        None => None,
+    };
+    let figures = Arc::new(Figures::new(config.settings.classes.iter().map(|c| c.name.as_str())));
     let fleet = Arc::new(Fleet {
         names: config.names.clone(),
         connect_wait: config::span(config.limits.connect_wait),
         keepalive: config::span(config.limits.keepalive),
         sockets: Arc::new(Semaphore::new(config.destination_sockets)),
         module: module.clone(),
+        figures: figures.clone(),
     });
 
     let (moves, addresses) = watch::channel(config.addresses);
@@ -76,14 +87,35 @@
         peers,
         recorder,
         ready: ready.clone(),
+        figures: figures.clone(),
+        cordoned: config
+            .cordons
+            .as_deref()
+            .map(cordons::read)
+            .unwrap_or_default()
+            .into_iter()
+            .map(Into::into)
+            .collect(),
     };
-    let decisions = tokio::spawn(Module::new(gateway, ties).run(changes, mailbox));
+    let (control, controls) = mpsc::channel(CONTROL_MAILBOX);
+    let decisions = tokio::spawn(Module::new(gateway, ties).run(changes, controls, mailbox));
 
     let (phase, stopping) = watch::channel(Phase::Serving);
+    if let Some(listener) = ops_listener {
+        let store = config.cordons.clone();
+        let ops = Ops {
+            figures: figures.clone(),
+            phase: phase.clone(),
+            control,
+            store,
+            written: Default::default(),
+        };
+        tokio::spawn(ops::serve(listener, ops));
+    }
     let longest = config::span(config.limits.longest_deadline);
-    let front = front::Front::new(config.names, &config.settings, longest, ready, stopping, module);
+    let front = front::Front::new(config.names, &config.settings, longest, ready, stopping, module, figures);
     tokio::select! {
-        served = front::serve(config.listen, config.front_sockets, front) => {
+        served = front::serve(listener, config.front_sockets, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
         }
         () = signals.follow(phase, moves, longest) => Ok(()),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use sedgestack::platform::{Document, Limits, Names};
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use super::addresses::Addresses;
+use super::cordons;
 use super::pool::{Change, WireList};
 
 /// Descriptors kept free of front and destination sockets: the list, the counter, peers, the runtime.
@@ -23,6 +24,9 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The operators' address, where there is one, and the file that keeps the servers taken out by hand.
+    pub ops: Option<SocketAddr>,
+    pub cordons: Option<PathBuf>,
     pub addresses: Addresses,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
@@ -52,6 +56,7 @@
 struct File {
     name: Option<String>,
     listen: Option<SocketAddr>,
+    ops: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
@@ -83,7 +88,9 @@
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
 
-/// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` go before its keys.
+/// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN`, `LB_OPS` and `LB_DISCOVERY` go before its
+/// keys. Servers taken out by hand are kept in `$TMPDIR` (else the system's own) where there is an operators'
+/// address.
 pub fn read() -> Result<Config, ConfigError> {
     let path = variable("LB_CONFIG").ok_or_else(|| ConfigError("LB_CONFIG is not set".into()))?;
     read_file(Path::new(&path)).map_err(|ConfigError(why)| ConfigError(format!("LB_CONFIG: {why}")))
@@ -126,9 +133,17 @@
     if settings.counter_timeout.is_some() && file.counter.is_none() {
         return Err(ConfigError("counter is missing, and settings.familyInfo.hasCounter is true".into()));
     }
+    let listen = address("LB_LISTEN", "listen", file.listen)?;
+    let ops = match variable("LB_OPS") {
+        Some(_) => Some(address("LB_OPS", "ops", file.ops)?),
+        None => file.ops,
+    };
+    let temporary = variable("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
     Ok(Config {
         name: variable("LB_NAME").or(file.name).unwrap_or_else(|| "sedgestack".into()),
-        listen: address("LB_LISTEN", "listen", file.listen)?,
+        listen,
+        ops,
+        cordons: ops.map(|_| cordons::path(&temporary, listen)),
         addresses: Addresses {
             discovery: address("LB_DISCOVERY", "discovery", file.discovery)?,
             counter: file.counter,
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -28,6 +28,7 @@
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout_at, Instant};
 
+use super::figures::Figures;
 use super::mail::{Forward, Mail, StepEnd};
 use super::metrics::COUNTERS;
 
@@ -72,6 +73,7 @@
     /// Descriptors for connections to destinations.
     pub sockets: Arc<Semaphore>,
     pub module: mpsc::Sender<Mail>,
+    pub figures: Arc<Figures>,
 }
 
 impl Fleet {
@@ -423,7 +425,7 @@
                 let mut request = Self::request(&authority, &step);
                 let used = capture_connection(&mut request);
                 let body = step.forward.body.len();
-                let exchange = exchange(&pool, request, &used, body, &fleet.names, &mut end);
+                let exchange = exchange(&pool, request, &used, body, &fleet, &mut end);
                 end.outcome = match timeout_at(step.deadline, exchange).await {
                     Ok(Outcome::ConnectFailed) if closed.load(Relaxed) => Outcome::NotSent,
                     // Guards against blaming a destination for a connection that ended while it stood idle:
@@ -504,14 +506,21 @@
     request: Request<Full<Bytes>>,
     used: &CaptureConnection,
     body: usize,
-    names: &Names,
+    fleet: &Fleet,
     end: &mut StepEnd,
 ) -> Outcome {
-    let Ok(answer) = pool.request(request).await else {
+    let names = &fleet.names;
+    let asked = pool.request(request).await;
+    let wire = wire(used);
+    // Written whole: the last byte was taken before the answer's head was read, or the exchange broke.
+    if wire.as_ref().is_some_and(|w| !w.between_requests() && w.whole(body)) {
+        fleet.figures.written();
+    }
+    let Ok(answer) = asked else {
         // Guards repeats: "could not connect" only where the socket did not take the last byte.
-        return wire(used).map_or(Outcome::ConnectFailed, |wire| wire.broke(body));
+        return wire.map_or(Outcome::ConnectFailed, |wire| wire.broke(body));
     };
-    if let Some(wire) = wire(used) {
+    if let Some(wire) = wire {
         wire.answered(body);
     }
     let (head, content) = answer.into_parts();
@@ -748,7 +757,8 @@
         let (module, mail) = mpsc::channel(64);
         let sockets = Arc::new(Semaphore::new(8));
         let names = Names::new(["read"], ["small"], ["util"]);
-        (Arc::new(Fleet { names, connect_wait: LONG, keepalive: LONG, sockets, module }), mail)
+        let figures = Arc::new(Figures::new(["read"]));
+        (Arc::new(Fleet { names, connect_wait: LONG, keepalive: LONG, sockets, module, figures }), mail)
     }
 
     async fn end(mail: &mut mpsc::Receiver<Mail>) -> StepEnd {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -22,12 +22,14 @@
 use hyper_util::service::TowerToHyperService;
 use sedgestack::platform::Names;
 use sedgestack::{Effect, Micros, Request, RequestId, Settings};
+use socket2::{Domain, Protocol, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep_until, timeout_at, Instant, MissedTickBehavior};
 
 use super::destination::LARGEST_BODY;
+use super::figures::Figures;
 use super::ids::OpenIds;
 use super::mail::{Forward, Mail, Origin, Reply, Taken};
 use super::metrics::COUNTERS;
@@ -47,6 +49,8 @@
 const LARGEST_HEAD: usize = 64 << 10;
 /// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
+/// Connections that the machine may hold accepted for the front socket before the program takes them.
+const LISTEN_QUEUE: i32 = 1024;
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
@@ -64,6 +68,7 @@
     longest_deadline: Duration,
     /// Requests that are open, by the platform's id.
     open: OpenIds,
+    figures: Arc<Figures>,
 }
 
 impl Front {
@@ -75,6 +80,7 @@
         ready: Arc<AtomicBool>,
         stopping: watch::Receiver<Phase>,
         module: mpsc::Sender<Mail>,
+        figures: Arc<Figures>,
     ) -> Front {
         let effects = settings.classes.iter().map(|c| c.effect).collect();
         let most_units = if settings.max_units > 0.0 { settings.max_units } else { f64::MAX };
@@ -89,6 +95,7 @@
             gateways: settings.gateways.max(1),
             longest_deadline,
             open: OpenIds::default(),
+            figures,
         }
     }
 }
@@ -239,6 +246,20 @@
     }
 }
 
+/// A request of a known class until its answer: pending, and then counted by how it ended, or under no end
+/// where its client went away first.
+struct Tally<'a> {
+    figures: &'a Figures,
+    class: usize,
+    status: Option<StatusCode>,
+}
+
+impl Drop for Tally<'_> {
+    fn drop(&mut self) {
+        self.figures.ended(self.class, self.status);
+    }
+}
+
 async fn take(State(front): State<Arc<Front>>, request: axum::extract::Request) -> Response {
     let came = Instant::now();
     let (mut parts, body) = request.into_parts();
@@ -247,6 +268,22 @@
         Ok(head) => head,
         Err(unfit) => return unfit.into_response(),
     };
+    front.figures.begun();
+    let mut tally = Tally { figures: &front.figures, class: head.class, status: None };
+    let response = answer(&front, came, parts, body, head, place).await;
+    tally.status = Some(response.status());
+    response
+}
+
+/// The answer to a request whose head was understood.
+async fn answer(
+    front: &Front,
+    came: Instant,
+    parts: Parts,
+    body: Body,
+    head: Head,
+    place: Option<Arc<Place>>,
+) -> Response {
     let body = match whole(&parts.headers, body).await {
         Ok(body) => body,
         Err(unfit) => return unfit.into_response(),
@@ -296,6 +333,7 @@
             StatusCode::GATEWAY_TIMEOUT.into_response()
         }
     };
+    // Guards drains: a client's connection goes with the answer that it waited for.
     if *front.stopping.borrow() != Phase::Serving {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -326,10 +364,22 @@
     Router::new().route("/ready", get(ready)).fallback(take).with_state(Arc::new(front))
 }
 
-/// Accepts front sockets until the program stops, then answers what they brought and returns.
-pub async fn serve(listen: SocketAddr, sockets: usize, front: Front) -> io::Result<()> {
-    let listener = TcpListener::bind(listen).await?;
+/// Binds the front socket's address with SO_REUSEPORT, so that the process that replaces this one can
+/// listen beside it. Errors: the address can't be bound.
+pub fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&listen.into())?;
+    socket.listen(LISTEN_QUEUE)?;
+    let listener = TcpListener::from_std(socket.into())?;
     say!("front: listening on {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+/// Accepts front sockets until the program stops, then answers what they brought and returns.
+pub async fn serve(listener: TcpListener, sockets: usize, front: Front) -> io::Result<()> {
     let sockets = Sockets::new(sockets);
     let stopping = front.stopping.clone();
     let routes = routes(front);
@@ -374,8 +424,9 @@
     }
 }
 
-/// Serves one front socket. One that stands idle when the program is told to stop is closed at once, one
-/// that comes later when the listener is. `_share` is let go with it.
+/// Serves one front socket. One that stands idle when the program is told to drain or stop is closed at
+/// once; one that comes in a drain when the program stops, and one that comes later when the listener
+/// closes. An answer in a drain or a stop closes its socket. `_share` is let go with it.
 async fn connection(
     mut stream: TcpStream,
     routes: Router,
@@ -384,7 +435,11 @@
     _share: mpsc::Sender<()>,
 ) {
     let _ = stream.set_nodelay(true);
-    let came_late = *stopping.borrow() != Phase::Serving;
+    let last = match *stopping.borrow() {
+        Phase::Serving => Phase::Quiesced,
+        Phase::Quiesced => Phase::Stopping,
+        Phase::Stopping | Phase::Closing => Phase::Closing,
+    };
     let routes = TowerToHyperService::new(routes);
     let (seat, refused) = (place.clone(), AtomicBool::new(false));
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
@@ -405,7 +460,6 @@
             .max_buf_size(LARGEST_HEAD)
             .serve_connection(FrontStream::new(&mut stream, place.clone()), service);
         tokio::pin!(connection);
-        let last = if came_late { Phase::Closing } else { Phase::Stopping };
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
             _ = stopping.wait_for(|p| *p >= last) => None,
@@ -456,6 +510,7 @@
             gateways: 4,
             longest_deadline: Duration::from_secs(8),
             open: OpenIds::default(),
+            figures: Arc::new(Figures::new(["read"])),
         };
         (routes(front), mail, phase)
     }
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -94,3 +94,16 @@
     Counted(Counted),
     Peer { from: u32, bytes: Vec<u8> },
 }
+
+/// The servers taken out by hand after a call, in order, and the call's number: a later set has a higher one.
+#[derive(Debug)]
+pub struct Cordoned {
+    pub number: u64,
+    pub names: Vec<String>,
+}
+
+/// What the operators' address asks of the module, through a mailbox of its own.
+pub enum Control {
+    /// Take server `name` out (`out`) or let it back; `None` for a server that is not known.
+    Cordon { name: String, out: bool, reply: oneshot::Sender<Option<Cordoned>> },
+}
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -16,6 +16,12 @@
     pub fn one(&self) {
         self.add(1);
     }
+
+    /// What it has come to.
+    #[cfg(test)]
+    pub fn get(&self) -> u64 {
+        self.0.load(Relaxed)
+    }
 }
 
 macro_rules! counters {
@@ -112,4 +118,12 @@
     /// Batches handed to the decisions, and events in them.
     batches,
     events,
+    /// Calls to the operators' address, and those answered with no.
+    ops_calls,
+    ops_refused,
+    /// Connections to the operators' address closed as their call did not come whole in time.
+    ops_unfinished,
+    /// Files of servers taken out by hand that could not be read at the start, or written.
+    cordons_unreadable,
+    cordons_unwritten,
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,8 +3,10 @@
 pub mod addresses;
 pub mod clock;
 pub mod config;
+pub mod cordons;
 pub mod counter;
 pub mod destination;
+pub mod figures;
 pub mod front;
 pub mod ids;
 pub mod list;
@@ -12,6 +14,7 @@
 pub mod mail;
 pub mod metrics;
 pub mod module;
+pub mod ops;
 pub mod peers;
 pub mod pool;
 pub mod recorder;
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -4,7 +4,7 @@
 //! full is an outcome like any other.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +19,8 @@
 use super::clock::Clock;
 use super::counter;
 use super::destination::{Fleet, Handle, Order, RouteStep};
-use super::mail::{Counted, Forward, Mail, Origin, Reply, StepEnd, Taken};
+use super::figures::Figures;
+use super::mail::{Control, Cordoned, Counted, Forward, Mail, Origin, Reply, StepEnd, Taken};
 use super::metrics::COUNTERS;
 use super::pool::Change;
 use super::recorder::{Entry, Recorder};
@@ -54,6 +55,9 @@
     pub recorder: Option<Recorder>,
     /// Set once a request could be decided.
     pub ready: Arc<AtomicBool>,
+    pub figures: Arc<Figures>,
+    /// Servers taken out by hand before this start.
+    pub cordoned: BTreeSet<BackendId>,
 }
 
 /// The module's actor.
@@ -72,11 +76,19 @@
     uncounted: Vec<Counted>,
     /// Whether the counter's last call was answered.
     counter_answers: Option<bool>,
+    /// Servers taken out by hand, and the number of calls that changed them.
+    cordoned: BTreeSet<BackendId>,
+    cordon_calls: u64,
+    /// The list or the servers taken out changed in this batch: the figures are to be told.
+    members_changed: bool,
 }
 
 impl Module {
     /// An actor round a gateway that has just come up.
-    pub fn new(gateway: Gateway, ties: Ties) -> Module {
+    pub fn new(gateway: Gateway, mut ties: Ties) -> Module {
+        let cordoned = std::mem::take(&mut ties.cordoned);
+        let events =
+            cordoned.iter().map(|backend| Event::Cordon { backend: backend.clone(), out: true }).collect();
         Module {
             gateway,
             ties,
@@ -85,16 +97,24 @@
             list_version: 0,
             changes: 0,
             timers: BinaryHeap::new(),
-            events: Vec::new(),
+            events,
             at_once: Vec::new(),
             uncounted: Vec::new(),
             counter_answers: None,
+            cordoned,
+            cordon_calls: 0,
+            members_changed: true,
         }
     }
 
-    /// Runs until the mailbox is closed. Changes of the list go before everything else in a batch, as a
-    /// drain must not wait behind requests.
-    pub async fn run(mut self, mut lists: mpsc::Receiver<Change>, mut mailbox: mpsc::Receiver<Mail>) {
+    /// Runs until the mailbox is closed. Changes of the list and operators' calls go before everything else
+    /// in a batch, as a drain must not wait behind requests.
+    pub async fn run(
+        mut self,
+        mut lists: mpsc::Receiver<Change>,
+        mut controls: mpsc::Receiver<Control>,
+        mut mailbox: mpsc::Receiver<Mail>,
+    ) {
         let mut mail = Vec::with_capacity(MOST_MAIL);
         let sleep = sleep_until(Instant::now());
         tokio::pin!(sleep);
@@ -107,6 +127,7 @@
             tokio::select! {
                 biased;
                 Some(change) = lists.recv() => self.listed(change),
+                Some(control) = controls.recv() => self.control(control),
                 count = mailbox.recv_many(&mut mail, MOST_MAIL) => if count == 0 { return },
                 () = sleep.as_mut(), if due.is_some() => {}
                 () = std::future::ready(()), if !waiting => {}
@@ -114,6 +135,9 @@
             while let Ok(change) = lists.try_recv() {
                 self.listed(change);
             }
+            while let Ok(control) = controls.try_recv() {
+                self.control(control);
+            }
             for end in std::mem::take(&mut self.at_once) {
                 self.step_ended(end);
             }
@@ -175,17 +199,44 @@
                     old.close();
                 }
                 let handle = Handle::start(id.clone(), entry.addr, self.ties.fleet.clone());
-                if listed.state != BackendState::InService {
+                if listed.state != BackendState::InService || self.cordoned.contains(id) {
                     handle.close();
                 }
                 self.destinations.insert(id.clone(), (handle, listed.clone()));
             }
         }
         let list = change.entries.into_iter().map(|e| e.listed).collect();
+        self.members_changed = true;
         self.changes += 1;
         self.events.push(Event::Backends { version: self.changes, whole: change.whole, list });
     }
 
+    /// Takes a server out or lets it back, for the decisions to know before the next request. Its actor is
+    /// closed, so that no route step already given to it begins; one let back gets a new actor.
+    fn control(&mut self, control: Control) {
+        let Control::Cordon { name, out, reply } = control;
+        let backend: BackendId = name.into();
+        let known = self.destinations.get(&backend).map(|(handle, listed)| (handle.clone(), listed.clone()));
+        if known.is_none() && !self.cordoned.contains(&backend) {
+            let _ = reply.send(None);
+            return;
+        }
+        if out {
+            self.cordoned.insert(backend.clone());
+            known.inspect(|(handle, _)| handle.close());
+        } else if self.cordoned.remove(&backend) {
+            if let Some((handle, listed)) = known.filter(|(_, l)| l.state == BackendState::InService) {
+                let fresh = Handle::start(backend.clone(), handle.addr, self.ties.fleet.clone());
+                self.destinations.insert(backend.clone(), (fresh, listed));
+            }
+        }
+        self.cordon_calls += 1;
+        self.members_changed = true;
+        self.events.push(Event::Cordon { backend, out });
+        let names = self.cordoned.iter().map(|b| b.to_string()).collect();
+        let _ = reply.send(Some(Cordoned { number: self.cordon_calls, names }));
+    }
+
     fn read(&mut self, mail: Mail) {
         match mail {
             Mail::Taken(taken) => self.taken(taken),
@@ -290,6 +341,10 @@
         }
         self.events = events;
         self.events.clear();
+        if std::mem::take(&mut self.members_changed) {
+            let (all, out) = self.gateway.members();
+            self.ties.figures.members(all, out);
+        }
         if !self.ties.ready.load(Relaxed) {
             let serving = |l: &Listed| l.state == BackendState::InService;
             let ready = self.destinations.values().any(|(_, listed)| serving(listed));
--- /dev/null
+++ b/src/net/ops.rs
@@ -0,0 +1,330 @@
+//! The operators' address: health, figures, servers taken out by hand, drains.
+//!
+//! It has an accept loop of its own with room for [`CALLERS`] at once, apart from the clients' traffic:
+//! calls to the module go through a mailbox that no client request uses. Each connection carries one call
+//! and has [`ANSWER_WITHIN`] from its accept to its answer; a caller that sends nothing, or half a call, is
+//! closed then and holds no place for longer.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::http::{header, HeaderMap, StatusCode, Uri};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, put};
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use percent_encoding::percent_decode_str;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Mutex, Semaphore};
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+use super::cordons;
+use super::figures::Figures;
+use super::mail::{Control, Cordoned};
+use super::metrics::COUNTERS;
+use super::shutdown::Phase;
+use crate::say;
+
+/// Connections served at once; the next waits in the listener's queue.
+pub const CALLERS: usize = 16;
+/// From accept to the last byte of the answer.
+pub const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+/// A call's head, with all its lines, is no longer.
+const LARGEST_CALL: usize = 8 << 10;
+/// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
+const ACCEPT_REST: Duration = Duration::from_millis(10);
+
+/// What the calls of the operators' address share.
+pub struct Ops {
+    pub figures: Arc<Figures>,
+    pub phase: watch::Sender<Phase>,
+    pub control: mpsc::Sender<Control>,
+    /// Where the set of servers taken out is kept, if anywhere.
+    pub store: Option<PathBuf>,
+    /// The number of the last set written: a set told later never loses to one told before.
+    pub written: Mutex<u64>,
+}
+
+/// Binds the operators' address. Errors: the address can't be bound; the start ends, naming the key.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, String> {
+    let listener = TcpListener::bind(address).await.map_err(|e| format!("ops: {address}: {e}"))?;
+    let bound = listener.local_addr().map_err(|e| format!("ops: {address}: {e}"))?;
+    say!("ops: listening on {bound}");
+    Ok(listener)
+}
+
+/// Serves the operators' address until the runtime ends.
+pub async fn serve(listener: TcpListener, ops: Ops) {
+    let routes = routes(ops);
+    let room = Arc::new(Semaphore::new(CALLERS));
+    loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let deadline = Instant::now() + ANSWER_WITHIN;
+                let routes = routes.clone();
+                tokio::spawn(async move {
+                    connection(stream, routes, deadline).await;
+                    drop(place);
+                });
+            }
+            Err(e) => {
+                COUNTERS.front_accept_failed.one();
+                say!("ops: accept: {e}");
+                sleep_until(Instant::now() + ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, routes: Router, deadline: Instant) {
+    let _ = stream.set_nodelay(true);
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .header_read_timeout(None)
+        .max_buf_size(LARGEST_CALL)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(routes));
+    if timeout_at(deadline, served).await.is_err() {
+        COUNTERS.ops_unfinished.one();
+    }
+}
+
+fn routes(ops: Ops) -> Router {
+    Router::new()
+        .route("/admin/health", get(health))
+        .route("/admin/stats", get(stats))
+        .route("/admin/cordon", put(cordon))
+        .route("/admin/uncordon", put(uncordon))
+        .route("/admin/quiesce", put(quiesce))
+        .route("/admin/resume", put(resume))
+        .fallback(|| async { no(StatusCode::NOT_FOUND, "no such call") })
+        .with_state(Arc::new(ops))
+}
+
+/// An answer that says no, with its reason on a line.
+fn no(status: StatusCode, why: &str) -> Response {
+    COUNTERS.ops_refused.one();
+    (status, format!("{why}\n")).into_response()
+}
+
+fn yes(text: String) -> Response {
+    COUNTERS.ops_calls.one();
+    (StatusCode::OK, [(header::CONTENT_TYPE, "application/json")], text).into_response()
+}
+
+/// Guards against a call that is not what it says: a `PUT` carries no body.
+fn bodiless(headers: &HeaderMap) -> bool {
+    let length = headers.get(header::CONTENT_LENGTH).is_none_or(|l| l == "0");
+    length && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+/// Yes while the process takes clients: from its start until it stops accepting.
+async fn health(State(ops): State<Arc<Ops>>) -> Response {
+    match *ops.phase.borrow() {
+        Phase::Closing => no(StatusCode::SERVICE_UNAVAILABLE, "no longer taking clients"),
+        phase => yes(format!("{{\"taking\":true,\"draining\":{}}}\n", phase != Phase::Serving)),
+    }
+}
+
+async fn stats(State(ops): State<Arc<Ops>>) -> Response {
+    yes(format!("{}\n", ops.figures.json()))
+}
+
+/// The one `name` of a query: there once, not empty, percent-decoded.
+fn name(uri: &Uri) -> Result<String, &'static str> {
+    let mut names = uri.query().unwrap_or_default().split('&').filter_map(|pair| {
+        let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+        (key == "name").then_some(value)
+    });
+    let (Some(name), None) = (names.next(), names.next()) else {
+        return Err("the query names no server, or more than one: ?name=ID");
+    };
+    let name = percent_decode_str(name).decode_utf8().map_err(|_| "the name is not UTF-8")?;
+    if name.is_empty() {
+        return Err("the name is empty");
+    }
+    Ok(name.into_owned())
+}
+
+async fn cordon(State(ops): State<Arc<Ops>>, uri: Uri, headers: HeaderMap) -> Response {
+    told(&ops, &uri, &headers, true).await
+}
+
+async fn uncordon(State(ops): State<Arc<Ops>>, uri: Uri, headers: HeaderMap) -> Response {
+    told(&ops, &uri, &headers, false).await
+}
+
+/// Takes a server out or lets it back: the module says yes once nothing new goes there (or may go again),
+/// and the set is kept before the answer.
+async fn told(ops: &Ops, uri: &Uri, headers: &HeaderMap, out: bool) -> Response {
+    if !bodiless(headers) {
+        return no(StatusCode::BAD_REQUEST, "this call has no body");
+    }
+    let name = match name(uri) {
+        Ok(name) => name,
+        Err(why) => return no(StatusCode::BAD_REQUEST, why),
+    };
+    let (reply, answer) = oneshot::channel();
+    if ops.control.try_send(Control::Cordon { name: name.clone(), out, reply }).is_err() {
+        return no(StatusCode::SERVICE_UNAVAILABLE, "the module is busy; call again");
+    }
+    let cordoned = match answer.await {
+        Ok(Some(cordoned)) => cordoned,
+        Ok(None) => return no(StatusCode::NOT_FOUND, &format!("no server {name} is known")),
+        Err(_) => return no(StatusCode::SERVICE_UNAVAILABLE, "the module has stopped"),
+    };
+    keep(ops, &cordoned).await;
+    let list = serde_json::to_string(&cordoned.names).expect("names are JSON");
+    yes(format!("{{\"cordoned\":{list}}}\n"))
+}
+
+/// Writes the set where it is kept, unless a later one was written already. Guards the answer: a set that
+/// can't be written still holds in this process, and the log says why.
+async fn keep(ops: &Ops, cordoned: &Cordoned) {
+    let Some(path) = &ops.store else { return };
+    let mut written = ops.written.lock().await;
+    if *written > cordoned.number {
+        return;
+    }
+    match cordons::write(path, cordoned.names.iter().map(String::as_str)) {
+        Ok(()) => *written = cordoned.number,
+        Err(e) => {
+            COUNTERS.cordons_unwritten.one();
+            say!("cordons: {}: {e}; the set holds until this process ends", path.display());
+        }
+    }
+}
+
+/// Drains the limiter: `/ready` says no, and each client's connection closes after the answer it waits for.
+async fn quiesce(State(ops): State<Arc<Ops>>, headers: HeaderMap) -> Response {
+    if !bodiless(&headers) {
+        return no(StatusCode::BAD_REQUEST, "this call has no body");
+    }
+    ops.phase.send_if_modified(|phase| {
+        let serving = *phase == Phase::Serving;
+        if serving {
+            *phase = Phase::Quiesced;
+        }
+        serving
+    });
+    yes("{\"draining\":true}\n".into())
+}
+
+/// Ends a drain: `/ready` says yes again. A limiter that is stopping stays so.
+async fn resume(State(ops): State<Arc<Ops>>, headers: HeaderMap) -> Response {
+    if !bodiless(&headers) {
+        return no(StatusCode::BAD_REQUEST, "this call has no body");
+    }
+    let resumed = ops.phase.send_if_modified(|phase| {
+        let quiesced = *phase == Phase::Quiesced;
+        if quiesced {
+            *phase = Phase::Serving;
+        }
+        quiesced
+    });
+    if resumed || *ops.phase.borrow() == Phase::Serving {
+        yes("{\"draining\":false}\n".into())
+    } else {
+        no(StatusCode::CONFLICT, "the limiter is stopping")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use axum::body::Body;
+    use http_body_util::BodyExt;
+    use tower_service::Service;
+
+    fn ops() -> (Router, mpsc::Receiver<Control>, watch::Receiver<Phase>) {
+        let (control, calls) = mpsc::channel(4);
+        let (phase, seen) = watch::channel(Phase::Serving);
+        let ops = Ops {
+            figures: Arc::new(Figures::new(["read"])),
+            phase,
+            control,
+            store: None,
+            written: Mutex::new(0),
+        };
+        (routes(ops), calls, seen)
+    }
+
+    async fn call(routes: &mut Router, method: &str, uri: &str, body: &'static str) -> (u16, String) {
+        let mut request = axum::http::Request::builder().method(method).uri(uri);
+        if !body.is_empty() {
+            request = request.header(header::CONTENT_LENGTH, body.len());
+        }
+        let request =
+            request.body(if body.is_empty() { Body::empty() } else { Body::from(body) }).expect("a call");
+        let answer = routes.call(request).await.expect("an answer");
+        let status = answer.status().as_u16();
+        let text = answer.into_body().collect().await.expect("a body").to_bytes();
+        (status, String::from_utf8_lossy(&text).into_owned())
+    }
+
+    #[tokio::test]
+    async fn bad_calls_are_told_no_and_reach_nobody() {
+        let (mut routes, mut calls, _) = ops();
+        for (method, uri, body, status) in [
+            ("PUT", "/admin/cordon", "", 400),
+            ("PUT", "/admin/cordon?name=", "", 400),
+            ("PUT", "/admin/cordon?name=w1&name=w2", "", 400),
+            ("PUT", "/admin/cordon?name=w1", "a body", 400),
+            ("PUT", "/admin/quiesce", "a body", 400),
+            ("GET", "/admin/cordon?name=w1", "", 405),
+            ("PUT", "/admin/stats", "", 405),
+            ("GET", "/admin/nothing", "", 404),
+        ] {
+            assert_eq!(call(&mut routes, method, uri, body).await.0, status, "{method} {uri}");
+        }
+        assert!(calls.try_recv().is_err(), "no call reached the module");
+    }
+
+    #[tokio::test]
+    async fn a_cordon_is_answered_as_the_module_decides() {
+        let (mut routes, mut calls, _) = ops();
+        let module = tokio::spawn(async move {
+            let mut number = 0;
+            while let Some(Control::Cordon { name, out, reply }) = calls.recv().await {
+                number += 1;
+                let known = name == "w%1" || name == "w2";
+                let names = if out { vec![name] } else { vec![] };
+                let _ = reply.send(known.then_some(Cordoned { number, names }));
+            }
+        });
+        assert_eq!(
+            call(&mut routes, "PUT", "/admin/cordon?name=w%251", "").await,
+            (200, "{\"cordoned\":[\"w%1\"]}\n".into())
+        );
+        assert_eq!(
+            call(&mut routes, "PUT", "/admin/uncordon?name=w2", "").await,
+            (200, "{\"cordoned\":[]}\n".into())
+        );
+        assert_eq!(call(&mut routes, "PUT", "/admin/cordon?name=w9", "").await.0, 404);
+        drop(routes);
+        module.await.expect("the stand-in ends");
+    }
+
+    #[tokio::test]
+    async fn a_drain_is_told_and_ended_twice_without_harm() {
+        let (mut routes, _calls, phase) = ops();
+        for _ in 0..2 {
+            assert_eq!(call(&mut routes, "PUT", "/admin/quiesce", "").await.0, 200);
+            assert_eq!(*phase.borrow(), Phase::Quiesced);
+        }
+        assert_eq!(
+            call(&mut routes, "GET", "/admin/health", "").await,
+            (200, "{\"taking\":true,\"draining\":true}\n".into())
+        );
+        for _ in 0..2 {
+            assert_eq!(call(&mut routes, "PUT", "/admin/resume", "").await.0, 200);
+            assert_eq!(*phase.borrow(), Phase::Serving);
+        }
+    }
+}
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     Serving,
+    /// Drained by an operator: not ready, and each client's connection closes after its answer; it goes on.
+    Quiesced,
     /// Told to stop: answers all, and still accepts.
     Stopping,
     /// Accepts no more.
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,7 +97,10 @@
 
 #[derive(Default)]
 pub struct Backend {
+    /// What the decisions go by: the list's word, unless an operator took it out.
     pub state: BackendState,
+    /// What the list last said of it.
+    pub listed: BackendState,
     pub zone: String,
     pub cell: u32,
     pub started: Micros,
@@ -192,6 +195,9 @@
     pub(crate) counter_down_until: Micros,
     /// Failures since the counter last answered, those of one rest as one.
     pub(crate) counter_troubles: u32,
+    /// Backends that an operator took out: nothing new goes there until they are let back, whatever the list
+    /// says.
+    pub(crate) cordoned: BTreeSet<BackendId>,
 }
 
 impl Gateway {
