--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -22,7 +22,6 @@
 use hyper_util::service::TowerToHyperService;
 use sedgestack::platform::Names;
 use sedgestack::{Effect, Micros, Request, RequestId, Settings};
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -33,6 +32,7 @@
 use super::ids::OpenIds;
 use super::mail::{Forward, Mail, Origin, Reply, Taken};
 use super::metrics::COUNTERS;
+use super::reuse;
 use super::shutdown::Phase;
 use super::sockets::{FrontStream, Place, Sockets, Stage};
 use crate::say;
@@ -49,8 +49,6 @@
 const LARGEST_HEAD: usize = 64 << 10;
 /// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
-/// Connections that the machine may hold accepted for the front socket before the program takes them.
-const LISTEN_QUEUE: i32 = 1024;
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
@@ -367,13 +365,7 @@
 /// Binds the front socket's address with SO_REUSEPORT, so that the process that replaces this one can
 /// listen beside it. Errors: the address can't be bound.
 pub fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_reuse_port(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&listen.into())?;
-    socket.listen(LISTEN_QUEUE)?;
-    let listener = TcpListener::from_std(socket.into())?;
+    let listener = reuse::listener(listen)?;
     say!("front: listening on {}", listener.local_addr()?);
     Ok(listener)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod pool;
 pub mod recorder;
+pub mod reuse;
 pub mod settings;
 pub mod shutdown;
 pub mod sockets;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -8,6 +8,7 @@
 
 use super::mail::Mail;
 use super::metrics::COUNTERS;
+use super::reuse;
 use crate::say;
 
 /// The longest datagram that the platform allows.
@@ -29,7 +30,7 @@
         all: Option<SocketAddr>,
         own: u32,
     ) -> io::Result<Peers> {
-        Ok(Peers { socket: UdpSocket::bind(listen).await?, addresses, all, own })
+        Ok(Peers { socket: reuse::datagrams(listen)?, addresses, all, own })
     }
 
     /// Sends what the mailbox brings to all others, and tells the module what they send.
