--- a/src/main.rs
+++ b/src/main.rs
@@ -41,7 +41,6 @@
     let (module, mailbox) = mpsc::channel(MODULE_MAILBOX);
     let (lists, changes) = mpsc::channel(SMALL_MAILBOX);
     let ready = Arc::new(AtomicBool::new(false));
-    let listener = front::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let ops_listener = match config.ops {
         Some(address) => Some(ops::bind(address).await?),
         None => None,
@@ -115,7 +114,7 @@
     let longest = config::span(config.limits.longest_deadline);
     let front = front::Front::new(config.names, &config.settings, longest, ready, stopping, module, figures);
     tokio::select! {
-        served = front::serve(listener, config.front_sockets, front) => {
+        served = front::serve(config.listen, config.front_sockets, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
         }
         () = signals.follow(phase, moves, longest) => Ok(()),
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -371,7 +371,8 @@
 }
 
 /// Accepts front sockets until the program stops, then answers what they brought and returns.
-pub async fn serve(listener: TcpListener, sockets: usize, front: Front) -> io::Result<()> {
+pub async fn serve(listen: SocketAddr, sockets: usize, front: Front) -> io::Result<()> {
+    let listener = bind(listen)?;
     let sockets = Sockets::new(sockets);
     let stopping = front.stopping.clone();
     let routes = routes(front);
