Drop a cordon getter that nothing calls, and keep the front's bind private

Read over: Gateway::cordoned was added with the cordons but never used (the module keeps the set it answers with), front::bind is called only by front::serve since the bind moved back there, and the doc of Figures::begun named a parameter it does not take. Behaviour is unchanged; fmt, clippy and the workspace tests pass, and the adapter transcript and a start and stop of the daemon are as before.

--- a/src/cordon.rs
+++ b/src/cordon.rs
@@ -35,11 +35,6 @@
         self.choose_set();
     }
 
-    /// The backends taken out by hand, in order of their ids.
-    pub fn cordoned(&self) -> impl Iterator<Item = &BackendId> {
-        self.cordoned.iter()
-    }
-
     /// Of the backends that the list names, how many there are and how many get nothing new now: those
     /// taken out by hand and those that drain.
     pub fn members(&self) -> (usize, usize) {
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -33,7 +33,7 @@
         }
     }
 
-    /// A request of class `class` was taken: it is pending until [`Figures::ended`].
+    /// A request whose class is known was taken: it is pending until [`Figures::ended`].
     pub fn begun(&self) {
         self.pending.fetch_add(1, Relaxed);
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -364,7 +364,7 @@
 
 /// Binds the front socket's address with SO_REUSEPORT, so that the process that replaces this one can
 /// listen beside it. Errors: the address can't be bound.
-pub fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     let listener = reuse::listener(listen)?;
     say!("front: listening on {}", listener.local_addr()?);
     Ok(listener)
