Use a connection that refuses TCP_NODELAY, so that route steps share it again

In the deploy build (fat LTO, one codegen unit) the compiler loads the descriptor for that one setsockopt with 64 bits, `mov 0x10(%rsp),%rdi`, with whatever stands beside it in the upper half, as the calling convention allows for an int.

Excluded, each by logs in a copy: the pool (no connection was ever handed to it), stale connections (0 found), drains, connect itself (all came up within 2 ms).

Change: an option set for speed alone no longer costs the connection; it is counted as dials_delayed and logged. `Dialer::counted` can't fail, and a test hands it a socket without the option. A second test holds 20 route steps to one connection.

--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -31,6 +31,7 @@
 use super::figures::Figures;
 use super::mail::{Forward, Mail, StepEnd};
 use super::metrics::COUNTERS;
+use crate::say;
 
 /// The largest body that the platform knows.
 pub const LARGEST_BODY: usize = 64 << 10;
@@ -287,9 +288,18 @@
         let deadline = Instant::now() + self.fleet.connect_wait;
         let descriptor = self.fleet.sockets.clone().try_acquire_owned().map_err(io::Error::other)?;
         let stream = timeout_at(deadline, TcpStream::connect(self.addr)).await??;
-        stream.set_nodelay(true)?;
+        Ok(self.counted(stream, descriptor))
+    }
+
+    /// Takes a connection that came up into use. Guards it: one that refuses an option set for speed alone
+    /// serves all the same, and to drop it would be to dial for every route step.
+    fn counted(self, stream: TcpStream, descriptor: OwnedSemaphorePermit) -> Counted {
+        if let Err(e) = stream.set_nodelay(true) {
+            COUNTERS.dials_delayed.one();
+            say!("{}: the connection may send late: {e}", self.addr);
+        }
         let inner = TokioIo::new(stream);
-        Ok(Counted { inner, wire: Arc::default(), closed: self.closed, _descriptor: descriptor })
+        Counted { inner, wire: Arc::default(), closed: self.closed, _descriptor: descriptor }
     }
 }
 
@@ -872,6 +882,48 @@
         }
     }
 
+    /// Connections at a server are scarce and a new one costs: steps that follow each other share one.
+    #[tokio::test]
+    async fn route_steps_one_after_another_use_one_connection() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (told, mut news) = mpsc::unbounded_channel();
+        let served = tokio::spawn(script(listener, told));
+        let (fleet, mut mail) = fleet();
+        let handle = Handle::start("s-1".into(), addr, fleet);
+        for attempt in 0..20 {
+            handle.order(Order::Step(a_step(Serve, attempt, LONG)));
+            assert_eq!(end(&mut mail).await.outcome, Outcome::Ok);
+        }
+        let mut all = Vec::new();
+        while let Ok(one) = news.try_recv() {
+            all.push(one);
+        }
+        assert_eq!(all.iter().filter(|n| **n == "accepted").count(), 1, "{all:?}");
+        served.abort();
+    }
+
+    /// A socket that can't be told to send at once (here one of another family under a stream's name) is
+    /// used as it is.
+    #[tokio::test]
+    async fn a_connection_that_refuses_an_option_is_used_all_the_same() {
+        let (near, far) = std::os::unix::net::UnixStream::pair().unwrap();
+        near.set_nonblocking(true).unwrap();
+        let near = std::net::TcpStream::from(std::os::fd::OwnedFd::from(near));
+        let stream = TcpStream::from_std(near).unwrap();
+        assert!(stream.set_nodelay(true).is_err(), "it has no such option");
+        let (fleet, _mail) = fleet();
+        let descriptor = fleet.sockets.clone().try_acquire_owned().unwrap();
+        let addr = "127.0.0.1:1".parse().unwrap();
+        let dialer = Dialer { addr, closed: Arc::default(), fleet };
+        let mut counted = dialer.counted(stream, descriptor);
+        let wrote = std::future::poll_fn(|cx| Pin::new(&mut counted).poll_write(cx, b"POST /")).await;
+        assert_eq!(wrote.unwrap(), 6);
+        let mut read = [0; 6];
+        std::io::Read::read_exact(&mut { far }, &mut read).unwrap();
+        assert_eq!(&read, b"POST /");
+    }
+
     #[tokio::test]
     async fn a_probe_tells_the_load() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -91,9 +91,11 @@
     steps_not_sent,
     /// Route steps given a connection that had ended while it stood idle, and then another one.
     steps_redialled,
-    /// Connections opened to destinations, and dials that failed.
+    /// Connections opened to destinations, dials that failed, and connections that could not be told to
+    /// send at once and are used as they are.
     dials,
     dials_failed,
+    dials_delayed,
     probes,
     /// Calls to the quota counter, and how they ended.
     counter_calls,
