Share cordons between both processes of an upgrade, and answer what a closing front still holds

Each process read the file of cordons once, at its start: a word told to one after the other had started never reached the other, which goes on serving for up to 3.7 s after SIGTERM. And a process wrote its own set over the file, so that it could undo the other's word.

Change: one name at a time is changed in the file, under a lock; each process looks at the file every 100 ms and goes by it. `order` keeps a look and a call of the same process apart.

Forced by a new test: a process frozen before or after SIGTERM with 60 connections in its queue closed 27 of them unread. `graceful_shutdown` closes a connection on which nothing was read yet, and those accepted last met it at once. A new connection now has 450 ms for its first request whatever the phase, and the last look at the queue asks the socket, not the runtime.

members_unavailable now counts servers that the decisions avoid (full, or four times as slow as their like, silence counted), told every 250 ms.

Tests: cordons across a restart killed outright, a word to either process of an upgrade, the queue of a closing listener in both orders, a silent server told as avoided, two processes on one file. Each fails without its change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -673,6 +673,15 @@
         self.last_rank = ranks.get(SET_OF.max(shared) - 1).copied().unwrap_or(u64::MAX);
     }
 
+    /// How much slower than its like a backend looks now. Silence is not health: the age of the oldest attempt
+    /// counts as latency seen.
+    pub(crate) fn slowness(&self, b: &Backend) -> f64 {
+        let silent = |f: &(Micros, RequestId, u32, usize)| (self.now - f.0) as f64 / self.base[f.3];
+        let silence = b.flights.first().map_or(0.0, silent);
+        let age = self.now.saturating_sub(b.heard) as f64;
+        (1.0 + (b.slowness - 1.0) * (-age / SLOW_MEMORY).exp()).max(silence / 3.0)
+    }
+
     fn pick(&self, id: RequestId) -> Option<BackendId> {
         let r = &self.requests[&id];
         let effect = self.settings.classes[r.class].effect;
@@ -698,11 +707,7 @@
             if self.full(b) {
                 continue;
             }
-            // Silence is not health: the age of the oldest attempt counts as latency seen.
-            let silent = |f: &(Micros, RequestId, u32, usize)| (self.now - f.0) as f64 / self.base[f.3];
-            let silence = b.flights.first().map_or(0.0, silent);
-            let age = self.now.saturating_sub(b.heard) as f64;
-            let slowness = (1.0 + (b.slowness - 1.0) * (-age / SLOW_MEMORY).exp()).max(silence / 3.0);
+            let slowness = self.slowness(b);
             // What the others send shows in the use that it told, for as long as that is news.
             let news = (-(self.now.saturating_sub(b.told_at) as f64) / USE_MEMORY).exp();
             let busier = (1.0 + USE_WEIGHT * news * (b.use_told - self.mean_use)).max(LEAST_USE);
@@ -720,7 +725,7 @@
     }
 
     /// Fullness: a trouble, until it lapses; as many out as recent latency allows. One test may be out.
-    fn full(&self, b: &Backend) -> bool {
+    pub(crate) fn full(&self, b: &Backend) -> bool {
         let out = b.flights.len() as f64;
         self.now < b.full_until || (b.troubles > 0 && out >= 1.0) || out >= b.limit.max(1.0)
     }
--- a/src/cordon.rs
+++ b/src/cordon.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeSet;
 
 use crate::interface::{BackendId, BackendState};
-use crate::state::Gateway;
+use crate::state::{Backend, Gateway};
+
+/// A backend that looks so many times as slow as its like is passed over while an idle one is there.
+const AVOIDED_FROM: f64 = 4.0;
 
 /// The state that the decisions go by for a backend that the list calls `listed`: a backend taken out drains,
 /// whatever the list says; one that the list drains or has lost stays so.
@@ -35,11 +38,15 @@
         self.choose_set();
     }
 
-    /// Of the backends that the list names, how many there are and how many get nothing new now: those
-    /// taken out by hand and those that drain.
+    /// Of the backends that the list names, how many there are and how many are avoided now: those taken out by
+    /// hand, those that drain, those that said they are full, and those that look [`AVOIDED_FROM`] times as slow
+    /// as their like, silence counted.
     pub fn members(&self) -> (usize, usize) {
         let listed = self.backends.values().filter(|b| b.listed != BackendState::Gone);
-        listed.fold((0, 0), |(all, out), b| (all + 1, out + usize::from(b.state != BackendState::InService)))
+        let avoided = |b: &Backend| {
+            b.state != BackendState::InService || self.full(b) || self.slowness(b) >= AVOIDED_FROM
+        };
+        listed.fold((0, 0), |(all, out), b| (all + 1, out + usize::from(avoided(b))))
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
 use clap::Parser;
 use sedgestack::Gateway;
 use sedgestack_capture::Header;
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, watch, Mutex, Semaphore};
 
 use cli::{Cli, Command};
 use net::clock::Clock;
@@ -101,14 +101,11 @@
 
     let (phase, stopping) = watch::channel(Phase::Serving);
     if let Some(listener) = ops_listener {
-        let store = config.cordons.clone();
-        let ops = Ops {
-            figures: figures.clone(),
-            phase: phase.clone(),
-            control,
-            store,
-            written: Default::default(),
-        };
+        let (store, order) = (config.cordons.clone(), Arc::<Mutex<()>>::default());
+        if let Some(store) = store.clone() {
+            tokio::spawn(cordons::follow(store, order.clone(), control.clone()));
+        }
+        let ops = Ops { figures: figures.clone(), phase: phase.clone(), control, store, order };
         tokio::spawn(ops::serve(listener, ops));
     }
     let longest = config::span(config.limits.longest_deadline);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -47,6 +47,8 @@
 const MOST_SKIPPED: usize = 1 << 20;
 /// Bytes of a request held unread at once: bounds memory over all front sockets.
 const LARGEST_HEAD: usize = 64 << 10;
+/// A connection that the machine accepted has so long for its first request, also in a drain or a stop.
+const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(450);
 /// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
 const ACCEPT_REST: Duration = Duration::from_millis(10);
 /// Customers are numbers below this.
@@ -404,9 +406,12 @@
             _ = closing.wait_for(|p| *p == Phase::Closing) => break,
         }
     }
-    // What the machine accepted before the listener closes counts as taken too.
-    while let Some(Ok((stream, _))) = futures_util::FutureExt::now_or_never(listener.accept()) {
-        start(stream);
+    // What the machine accepted before the listener closes counts as taken too. Asked of the socket itself:
+    // the runtime may not have seen yet that something waits there.
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        start(TcpStream::from_std(stream)?);
     }
     drop((listener, finished));
     loop {
@@ -418,7 +423,7 @@
 }
 
 /// Serves one front socket. One that stands idle when the program is told to drain or stop is closed at
-/// once; one that comes in a drain when the program stops, and one that comes later when the listener
+/// once, unless it is so new that its first request may be on its way; one that comes in a drain when the program stops, and one that comes later when the listener
 /// closes. An answer in a drain or a stop closes its socket. `_share` is let go with it.
 async fn connection(
     mut stream: TcpStream,
@@ -428,6 +433,7 @@
     _share: mpsc::Sender<()>,
 ) {
     let _ = stream.set_nodelay(true);
+    let heard_by = Instant::now() + FIRST_REQUEST_WITHIN;
     let last = match *stopping.borrow() {
         Phase::Serving => Phase::Quiesced,
         Phase::Quiesced => Phase::Stopping,
@@ -455,7 +461,12 @@
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
-            _ = stopping.wait_for(|p| *p >= last) => None,
+            // Guards requests on their way: a connection closed before its first byte was read turns one back
+            // unheard. The answer closes it then.
+            () = async {
+                let _ = stopping.wait_for(|p| *p >= last).await;
+                sleep_until(heard_by).await;
+            } => None,
         };
         if ended.is_none() {
             connection.as_mut().graceful_shutdown();
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -1,5 +1,6 @@
 //! What the actors tell the module, and what passes between them.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -95,15 +96,11 @@
     Peer { from: u32, bytes: Vec<u8> },
 }
 
-/// The servers taken out by hand after a call, in order, and the call's number: a later set has a higher one.
-#[derive(Debug)]
-pub struct Cordoned {
-    pub number: u64,
-    pub names: Vec<String>,
-}
-
 /// What the operators' address asks of the module, through a mailbox of its own.
 pub enum Control {
-    /// Take server `name` out (`out`) or let it back; `None` for a server that is not known.
-    Cordon { name: String, out: bool, reply: oneshot::Sender<Option<Cordoned>> },
+    /// Take server `name` out (`out`) or let it back; the names that are out then, `None` for a server that
+    /// is not known.
+    Cordon { name: String, out: bool, reply: oneshot::Sender<Option<Vec<String>>> },
+    /// These and no others are out: another process on the same addresses was told so.
+    Cordons { names: BTreeSet<String>, reply: oneshot::Sender<()> },
 }
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -20,7 +20,7 @@
 use super::counter;
 use super::destination::{Fleet, Handle, Order, RouteStep};
 use super::figures::Figures;
-use super::mail::{Control, Cordoned, Counted, Forward, Mail, Origin, Reply, StepEnd, Taken};
+use super::mail::{Control, Counted, Forward, Mail, Origin, Reply, StepEnd, Taken};
 use super::metrics::COUNTERS;
 use super::pool::Change;
 use super::recorder::{Entry, Recorder};
@@ -29,6 +29,9 @@
 /// Mail handled in one batch at most: a flood must not keep timers waiting.
 const MOST_MAIL: usize = 256;
 
+/// Servers come to be avoided, or no longer, between changes of the list: the figures hear of it this often.
+const MEMBERS_EVERY: Micros = 250_000;
+
 /// A request taken, until its last route step has ended.
 struct Open {
     forward: Arc<Forward>,
@@ -76,11 +79,12 @@
     uncounted: Vec<Counted>,
     /// Whether the counter's last call was answered.
     counter_answers: Option<bool>,
-    /// Servers taken out by hand, and the number of calls that changed them.
+    /// Servers taken out by hand.
     cordoned: BTreeSet<BackendId>,
-    cordon_calls: u64,
     /// The list or the servers taken out changed in this batch: the figures are to be told.
     members_changed: bool,
+    /// When the figures were last told of the servers that the decisions avoid.
+    members_told: Micros,
 }
 
 impl Module {
@@ -102,8 +106,8 @@
             uncounted: Vec::new(),
             counter_answers: None,
             cordoned,
-            cordon_calls: 0,
             members_changed: true,
+            members_told: 0,
         }
     }
 
@@ -211,16 +215,32 @@
         self.events.push(Event::Backends { version: self.changes, whole: change.whole, list });
     }
 
+    fn control(&mut self, control: Control) {
+        match control {
+            Control::Cordon { name, out, reply } => {
+                let backend: BackendId = name.into();
+                let known = self.destinations.contains_key(&backend) || self.cordoned.contains(&backend);
+                let out = known.then(|| {
+                    self.cordon(backend, out);
+                    self.cordoned.iter().map(|b| b.to_string()).collect()
+                });
+                let _ = reply.send(out);
+            }
+            Control::Cordons { names, reply } => {
+                let names: BTreeSet<BackendId> = names.into_iter().map(Into::into).collect();
+                let back: Vec<BackendId> = self.cordoned.difference(&names).cloned().collect();
+                let out: Vec<BackendId> = names.difference(&self.cordoned).cloned().collect();
+                back.into_iter().for_each(|backend| self.cordon(backend, false));
+                out.into_iter().for_each(|backend| self.cordon(backend, true));
+                let _ = reply.send(());
+            }
+        }
+    }
+
     /// Takes a server out or lets it back, for the decisions to know before the next request. Its actor is
     /// closed, so that no route step already given to it begins; one let back gets a new actor.
-    fn control(&mut self, control: Control) {
-        let Control::Cordon { name, out, reply } = control;
-        let backend: BackendId = name.into();
+    fn cordon(&mut self, backend: BackendId, out: bool) {
         let known = self.destinations.get(&backend).map(|(handle, listed)| (handle.clone(), listed.clone()));
-        if known.is_none() && !self.cordoned.contains(&backend) {
-            let _ = reply.send(None);
-            return;
-        }
         if out {
             self.cordoned.insert(backend.clone());
             known.inspect(|(handle, _)| handle.close());
@@ -230,11 +250,8 @@
                 self.destinations.insert(backend.clone(), (fresh, listed));
             }
         }
-        self.cordon_calls += 1;
         self.members_changed = true;
         self.events.push(Event::Cordon { backend, out });
-        let names = self.cordoned.iter().map(|b| b.to_string()).collect();
-        let _ = reply.send(Some(Cordoned { number: self.cordon_calls, names }));
     }
 
     fn read(&mut self, mail: Mail) {
@@ -341,7 +358,8 @@
         }
         self.events = events;
         self.events.clear();
-        if std::mem::take(&mut self.members_changed) {
+        if std::mem::take(&mut self.members_changed) || now >= self.members_told + MEMBERS_EVERY {
+            self.members_told = now;
             let (all, out) = self.gateway.members();
             self.ties.figures.members(all, out);
         }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -25,7 +25,7 @@
 
 use super::cordons;
 use super::figures::Figures;
-use super::mail::{Control, Cordoned};
+use super::mail::Control;
 use super::metrics::COUNTERS;
 use super::shutdown::Phase;
 use crate::say;
@@ -46,8 +46,8 @@
     pub control: mpsc::Sender<Control>,
     /// Where the set of servers taken out is kept, if anywhere.
     pub store: Option<PathBuf>,
-    /// The number of the last set written: a set told later never loses to one told before.
-    pub written: Mutex<u64>,
+    /// Held by whoever changes the set: see [`cordons::follow`].
+    pub order: Arc<Mutex<()>>,
 }
 
 /// Binds the operators' address. Errors: the address can't be bound; the start ends, naming the key.
@@ -170,6 +170,7 @@
         Ok(name) => name,
         Err(why) => return no(StatusCode::BAD_REQUEST, why),
     };
+    let _held = ops.order.lock().await;
     let (reply, answer) = oneshot::channel();
     if ops.control.try_send(Control::Cordon { name: name.clone(), out, reply }).is_err() {
         return no(StatusCode::SERVICE_UNAVAILABLE, "the module is busy; call again");
@@ -179,25 +180,18 @@
         Ok(None) => return no(StatusCode::NOT_FOUND, &format!("no server {name} is known")),
         Err(_) => return no(StatusCode::SERVICE_UNAVAILABLE, "the module has stopped"),
     };
-    keep(ops, &cordoned).await;
-    let list = serde_json::to_string(&cordoned.names).expect("names are JSON");
+    keep(ops, &name, out);
+    let list = serde_json::to_string(&cordoned).expect("names are JSON");
     yes(format!("{{\"cordoned\":{list}}}\n"))
 }
 
-/// Writes the set where it is kept, unless a later one was written already. Guards the answer: a set that
-/// can't be written still holds in this process, and the log says why.
-async fn keep(ops: &Ops, cordoned: &Cordoned) {
+/// Writes the change where the set is kept. Guards the answer: a set that can't be written still holds in this
+/// process, and the log says why.
+fn keep(ops: &Ops, name: &str, out: bool) {
     let Some(path) = &ops.store else { return };
-    let mut written = ops.written.lock().await;
-    if *written > cordoned.number {
-        return;
-    }
-    match cordons::write(path, cordoned.names.iter().map(String::as_str)) {
-        Ok(()) => *written = cordoned.number,
-        Err(e) => {
-            COUNTERS.cordons_unwritten.one();
-            say!("cordons: {}: {e}; the set holds until this process ends", path.display());
-        }
+    if let Err(e) = cordons::change(path, name, out) {
+        COUNTERS.cordons_unwritten.one();
+        say!("cordons: {}: {e}; the set holds until this process ends", path.display());
     }
 }
 
@@ -250,7 +244,7 @@
             phase,
             control,
             store: None,
-            written: Mutex::new(0),
+            order: Arc::default(),
         };
         (routes(ops), calls, seen)
     }
@@ -290,12 +284,10 @@
     async fn a_cordon_is_answered_as_the_module_decides() {
         let (mut routes, mut calls, _) = ops();
         let module = tokio::spawn(async move {
-            let mut number = 0;
             while let Some(Control::Cordon { name, out, reply }) = calls.recv().await {
-                number += 1;
                 let known = name == "w%1" || name == "w2";
                 let names = if out { vec![name] } else { vec![] };
-                let _ = reply.send(known.then_some(Cordoned { number, names }));
+                let _ = reply.send(known.then_some(names));
             }
         });
         assert_eq!(
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -249,6 +249,8 @@
     file: PathBuf,
     log: BufReader<std::process::ChildStderr>,
     pub address: SocketAddr,
+    /// The operators' address, where the configuration has one.
+    pub ops: Option<SocketAddr>,
 }
 
 impl Limiter {
@@ -259,15 +261,34 @@
 
     /// Starts the program with `LB_DISCOVERY` set, if it is given.
     pub fn start_with(config: &Value, discovery: Option<SocketAddr>) -> Limiter {
+        let variables = discovery.map(|d| ("LB_DISCOVERY", d.to_string()));
+        Limiter::start_in(config, variables.as_slice())
+    }
+
+    /// Starts the program with these variables in its environment.
+    pub fn start_in(config: &Value, variables: &[(&str, String)]) -> Limiter {
         let file = config_file(&config.to_string());
         let mut command = command_on(&file);
-        if let Some(discovery) = discovery {
-            command.env("LB_DISCOVERY", discovery.to_string());
-        }
+        command.envs(variables.iter().map(|(name, value)| (name, value)));
         let mut child = command.spawn().expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
-        let address = wait_for(&mut log, "listening on ").parse().expect("an address");
-        Limiter { child, file, log, address }
+        let has_ops = config.get("ops").is_some();
+        let ops = has_ops.then(|| wait_for(&mut log, "ops: listening on ").parse().expect("an address"));
+        let address = wait_for(&mut log, "front: listening on ").parse().expect("an address");
+        Limiter { child, file, log, address, ops }
+    }
+
+    /// One call at the operators' address.
+    pub fn call(&self, method: &str, call: &str) -> Message {
+        let stream = TcpStream::connect(self.ops.expect("it has the address")).expect("it accepts");
+        stream.set_read_timeout(Some(HUNG)).expect("a time-out is set");
+        Client { reader: BufReader::new(stream) }.ask(&format!("{method} /admin/{call} HTTP/1.1\r\n\r\n"))
+    }
+
+    /// A figure of `/admin/stats`.
+    pub fn figure(&self, name: &str) -> u64 {
+        let told: Value = serde_json::from_str(&self.call("GET", "stats").body).expect("JSON");
+        told[name].as_u64().unwrap_or_else(|| panic!("no {name} in {told}"))
     }
 
     pub fn connect(&self) -> Client {
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -1,6 +1,7 @@
 //! The built program on loopback sockets, among scripted peers.
 
 mod harness;
+mod upgrade;
 
 use std::io::Write;
 use std::net::Shutdown;
