--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -11,8 +11,8 @@
 mod voting;
 
 pub use documents::{Digest, LONGEST_DOCUMENT};
-pub use message::LONGEST;
-pub use node::{Node, Out, Refusal, Settings, SettingsFault, Snapshot, Standing, Told};
+pub use message::{kind, Unheard, FORMAT, LONGEST, MARK};
+pub use node::{Assured, Node, Out, Refusal, Settings, SettingsFault, Snapshot, Standing, Told};
 pub use voting::{Ballot, Value};
 
 /// Microseconds of a clock that all members share within [`Settings::skew`].
--- a/crates/accord/src/message.rs
+++ b/crates/accord/src/message.rs
@@ -31,6 +31,8 @@
         in_force: bool,
         /// It has forgotten its votes, and its word counts for no lease.
         forgetful: bool,
+        /// Words of so many members from `first` on, counted round: all of them where they fit.
+        first: Member,
         words: Vec<Word>,
     },
     Prepare {
@@ -81,19 +83,73 @@
     pub body: Body,
 }
 
+/// First byte of every datagram of the agreement, and the version of its format.
+pub const MARK: u8 = 0xa7;
+pub const FORMAT: u8 = 1;
+/// Bytes before what is said: mark, format and check sum.
+const HEAD: usize = 6;
+
+/// Why a datagram was not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Unheard {
+    #[error("it is none of the agreement's")]
+    Foreign,
+    #[error("its format {0} is not known here")]
+    Format(u8),
+    /// Its check sum or its words are wrong: it was damaged on its way.
+    #[error("it is damaged")]
+    Damaged,
+    #[error("its sender is no member")]
+    Stranger,
+}
+
+/// The first four bytes of the BLAKE3 digest: it finds what a network damages, and keeps out no attacker.
+fn check_sum(said: &[u8]) -> [u8; 4] {
+    let whole = blake3::hash(said);
+    [0, 1, 2, 3].map(|n| whole.as_bytes()[n])
+}
+
+/// What kind of message a datagram is, for those that record or disturb them; `None` for what is none.
+pub fn kind(bytes: &[u8]) -> Option<&'static str> {
+    Some(match Message::decode(bytes).ok()?.body {
+        Body::Beat { .. } => "beat",
+        Body::Prepare { .. } => "prepare",
+        Body::Promise { .. } => "promise",
+        Body::Accept { .. } => "accept",
+        Body::Accepted { .. } => "accepted",
+        Body::Passed { .. } => "passed",
+        Body::Want { .. } => "want",
+        Body::Piece { .. } => "piece",
+    })
+}
+
 impl Message {
     /// Its bytes.
     ///
     /// # Panics
     /// Where it is longer than [`LONGEST`]: settings that were checked make none.
     pub fn encode(&self) -> Vec<u8> {
-        let bytes = postcard::to_stdvec(self).expect("it holds nothing that can't be encoded");
+        let said = postcard::to_stdvec(self).expect("it holds nothing that can't be encoded");
+        let bytes = [&[MARK, FORMAT][..], &check_sum(&said), &said].concat();
         assert!(bytes.len() <= LONGEST, "a datagram of {} bytes: {self:?}", bytes.len());
         bytes
     }
 
-    /// A message out of bytes; `None` for what is none.
-    pub fn decode(bytes: &[u8]) -> Option<Message> {
-        postcard::from_bytes(bytes).ok().filter(|_| bytes.len() <= LONGEST)
+    /// A message out of bytes.
+    ///
+    /// # Errors
+    /// Says why the bytes are no message that is understood here.
+    pub fn decode(bytes: &[u8]) -> Result<Message, Unheard> {
+        match bytes {
+            [MARK, FORMAT, ..] if bytes.len() > HEAD && bytes.len() <= LONGEST => {}
+            [MARK, FORMAT, ..] => return Err(Unheard::Damaged),
+            [MARK, format, ..] => return Err(Unheard::Format(*format)),
+            _ => return Err(Unheard::Foreign),
+        }
+        let (head, said) = bytes.split_at(HEAD);
+        if head[2..] != check_sum(said) {
+            return Err(Unheard::Damaged);
+        }
+        postcard::from_bytes(said).map_err(|_| Unheard::Damaged)
     }
 }
--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -5,12 +5,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::documents::{Documents, LONGEST_DOCUMENT};
-use crate::message::{Body, Message, Word, AGE_STEP};
+use crate::message::{Body, Message, Unheard, Word, AGE_STEP};
 use crate::voting::{Acceptor, Ballot, Phase, Proposer, Value};
 use crate::{Digest, Member, Micros, Slot};
 
-/// More members than this do not fit into a beat.
-const MOST_MEMBERS: u16 = 100;
+/// The largest tier that was measured.
+const MOST_MEMBERS: u16 = 300;
+/// Words that fit into a beat; of a larger tier each beat carries the next so many.
+const MOST_WORDS: u16 = 96;
 /// Stands for unknown in a [`Word`].
 const UNKNOWN: u8 = u8::MAX;
 /// A ballot that has come to nothing for so many rounds is begun anew, higher.
@@ -134,6 +136,17 @@
     Outdated { parent: Slot, current: Slot },
     #[error("the document has {0} bytes; at most {LONGEST_DOCUMENT} fit")]
     TooLong(usize),
+    #[error("there is no member {0}")]
+    NoMember(Member),
+}
+
+/// For how long a member knows the version in force without another word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Assured {
+    /// Until then, by its own clock, what it serves under is known to be in force; 0 where it is not known now.
+    pub until: Micros,
+    /// The version that it goes over to by itself, from a moment on.
+    pub next: Option<(Micros, Slot, Digest)>,
 }
 
 /// What happened, for logs and counters.
@@ -157,6 +170,11 @@
     Lost {
         slot: Slot,
     },
+    /// A change that was proposed here was given up, as these members did not answer within its lead.
+    Unanswered {
+        slot: Slot,
+        members: Vec<Member>,
+    },
     Standing(Standing),
 }
 
@@ -172,6 +190,18 @@
     highest_round: u32,
 }
 
+impl Snapshot {
+    /// Its bytes, for a disk.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("it holds nothing that can't be encoded")
+    }
+
+    /// A snapshot out of bytes; `None` for what is none.
+    pub fn decode(bytes: &[u8]) -> Option<Snapshot> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
 /// What is known of a member.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 struct Heard {
@@ -294,6 +324,11 @@
         (self.in_force, self.serving.and_then(|d| self.documents.get(&d)))
     }
 
+    /// A document that it has whole.
+    pub fn document(&self, digest: &Digest) -> Option<&[u8]> {
+        self.documents.get(digest)
+    }
+
     /// The latest version that it knows to be decided.
     pub fn decided(&self) -> (Slot, Value) {
         (self.decided, self.value)
@@ -314,6 +349,21 @@
     /// # Errors
     /// Where it can't be begun here and now.
     pub fn propose(&mut self, now: Micros, document: Vec<u8>, parent: Slot) -> Result<Slot, Refusal> {
+        self.propose_to(now, document, parent, BTreeSet::new())
+    }
+
+    /// As [`Node::propose`]; where a member of `needs` does not answer within the lead, the change is not made, and
+    /// [`Told::Unanswered`] names it.
+    ///
+    /// # Errors
+    /// Where it can't be begun here and now.
+    pub fn propose_to(
+        &mut self,
+        now: Micros,
+        document: Vec<u8>,
+        parent: Slot,
+        needs: BTreeSet<Member>,
+    ) -> Result<Slot, Refusal> {
         self.now = self.now.max(now);
         if document.len() > LONGEST_DOCUMENT {
             return Err(Refusal::TooLong(document.len()));
@@ -328,19 +378,60 @@
         if self.furthest() >= slot || self.in_force < self.decided || self.proposer.is_some() {
             return Err(Refusal::UnderWay(slot));
         }
+        if let Some(none) = needs.iter().find(|m| **m >= self.settings.members) {
+            return Err(Refusal::NoMember(*none));
+        }
         let digest = self.documents.keep(document);
         self.proposed_here = Some((slot, digest));
-        self.begin(Value::Change { digest, at: self.now + self.settings.lead });
+        self.begin(Value::Change { digest, at: self.now + self.settings.lead }, needs);
         Ok(slot)
     }
 
-    /// Takes a datagram in; what is none, or is no member's, is dropped.
-    pub fn hear(&mut self, now: Micros, bytes: &[u8]) {
+    /// Whether it has forgotten its votes and has not heard a majority since.
+    pub fn waits(&self) -> bool {
+        self.votes_from.is_none()
+    }
+
+    /// An operator says that the members that are left are to go on from the latest version that any of them knows:
+    /// one that has forgotten its votes votes from the next version on. Where a majority of the members remembers,
+    /// this is never needed; where none does, what was decided beyond that version is lost.
+    pub fn adopt(&mut self) {
+        let next = self.furthest() + 1;
+        self.votes_from = Some(self.votes_from.map_or(next, |from| from.min(next)));
+    }
+
+    /// For how long it knows the version in force, if it were to hear nothing more.
+    pub fn assured(&self) -> Assured {
+        let goes_over = self.goes_over().filter(|_| self.in_force < self.decided);
+        let next = goes_over.and_then(|from| Some((from, self.decided, self.value.serves()?)));
+        if self.standing != Standing::Current {
+            return Assured { until: 0, next };
+        }
+        // It does not hold itself up: it accepts nothing that it does not know of.
+        let spoke = self.majority_as_of(|h| h.at, Some(Micros::MAX)).unwrap_or(0);
+        let mut until = spoke.saturating_add(self.settings.lease);
+        if self.furthest() > self.decided {
+            let own = if self.reach() <= self.decided { Some(Micros::MAX) } else { self.accepted_at };
+            let clear = self.majority_as_of(|h| h.clear, own).unwrap_or(0);
+            until = until.min(clear.saturating_add(self.settings.margin()));
+        }
+        if self.in_force < self.decided {
+            let moment = self.value.at().unwrap_or(0);
+            until = if next.is_some_and(|(from, ..)| from <= moment) { until } else { until.min(moment) };
+        }
+        Assured { until, next }
+    }
+
+    /// Takes a datagram in.
+    ///
+    /// # Errors
+    /// Says why it was dropped.
+    pub fn hear(&mut self, now: Micros, bytes: &[u8]) -> Result<(), Unheard> {
         self.now = self.now.max(now);
-        let Some(message) = Message::decode(bytes) else { return };
+        let message = Message::decode(bytes)?;
         let from = message.from;
         if from >= self.settings.members || from == self.settings.member {
-            return;
+            return Err(Unheard::Stranger);
         }
         // A late datagram looks like a clock behind; one ahead can only be a clock.
         if message.sent > self.now + self.settings.skew {
@@ -349,8 +440,8 @@
             self.clocks_apart.remove(&from);
         }
         match message.body {
-            Body::Beat { reach, decided, value, in_force, forgetful, words } => {
-                self.beat(from, message.sent, reach, forgetful, &words);
+            Body::Beat { reach, decided, value, in_force, forgetful, first, words } => {
+                self.beat(from, message.sent, reach, forgetful, first, &words);
                 self.learn(decided, value, in_force);
             }
             Body::Prepare { slot, ballot, document } => self.prepare(from, slot, ballot, document),
@@ -388,6 +479,7 @@
                 }
             }
         }
+        Ok(())
     }
 
     /// Goes on to `now`; gives what is to be sent. Call it at least every round.
@@ -412,17 +504,30 @@
         accepted.map_or(0, |(slot, _)| *slot).max(self.decided)
     }
 
-    fn beat(&mut self, from: Member, sent: Micros, reach: Slot, forgetful: bool, words: &[Word]) {
+    fn beat(
+        &mut self,
+        from: Member,
+        sent: Micros,
+        reach: Slot,
+        forgetful: bool,
+        first: Member,
+        words: &[Word],
+    ) {
         if !forgetful {
             self.heard_of(from, sent, reach);
         }
-        for (member, word) in words.iter().enumerate() {
-            let own = member == usize::from(self.settings.member);
-            if own || member == usize::from(from) || word.age == UNKNOWN || word.below == UNKNOWN {
+        let members = u32::from(self.settings.members);
+        for (place, word) in (u32::from(first)..).zip(words) {
+            let member = (place % members) as Member;
+            if member == self.settings.member
+                || member == from
+                || word.age == UNKNOWN
+                || word.below == UNKNOWN
+            {
                 continue;
             }
             let at = sent.saturating_sub(u64::from(word.age) * AGE_STEP);
-            self.heard_of(member as Member, at, reach.saturating_sub(u64::from(word.below)));
+            self.heard_of(member, at, reach.saturating_sub(u64::from(word.below)));
         }
     }
 
@@ -525,10 +630,10 @@
         Value::Void { keeps: self.value.serves() }
     }
 
-    fn begin(&mut self, own: Value) {
+    fn begin(&mut self, own: Value, needs: BTreeSet<Member>) {
         self.highest_round += 1;
         let ballot = Ballot { round: self.highest_round, member: self.settings.member };
-        self.proposer = Some(Proposer::new(ballot, own, self.now));
+        self.proposer = Some(Proposer::new(ballot, own, needs, self.now));
         self.press();
     }
 
@@ -675,6 +780,11 @@
         if asked {
             return;
         }
+        // What it proposes itself was found accepted by others: some peer has it, and the next round asks one.
+        if from == self.settings.member {
+            self.wanted = Some((digest, 0));
+            return;
+        }
         self.wanted = Some((digest, self.now));
         let first = self.documents.missing(&digest);
         self.send(from, Body::Want { digest, from: first });
@@ -682,19 +792,23 @@
 
     // == Time =======================================================================================
 
+    /// From when on it serves under the latest decided version, if it has the document. One learned of late waits
+    /// until every lease tells of it, unless a peer has gone over.
+    fn goes_over(&self) -> Option<Micros> {
+        let margin = self.settings.margin();
+        let from = match self.value.at() {
+            Some(at) if self.learned + margin > at && !self.followed => (self.learned + margin).max(at),
+            Some(at) => at,
+            None => 0,
+        };
+        self.value.serves().is_none_or(|d| self.documents.has(&d)).then_some(from)
+    }
+
     /// Brings a decided version into force once its moment has come, and takes note of how it stands.
     fn settle(&mut self) {
         if self.in_force < self.decided {
-            // One learned of late waits until every lease tells of it, unless a peer has gone over.
-            let from = match self.value.at() {
-                Some(at) if self.learned + self.settings.margin() > at && !self.followed => {
-                    (self.learned + self.settings.margin()).max(at)
-                }
-                Some(at) => at,
-                None => 0,
-            };
             let serves = self.value.serves();
-            if self.now >= from && serves.is_none_or(|d| self.documents.has(&d)) {
+            if self.goes_over().is_some_and(|from| self.now >= from) {
                 (self.in_force, self.serving) = (self.decided, serves);
                 self.told.push(Told::InForce { slot: self.decided, digest: serves });
                 let kept = self.kept();
@@ -721,12 +835,18 @@
         // A ballot that comes to nothing is begun anew; a vote that nobody finishes is taken over.
         if let Some(p) = &self.proposer {
             if self.now - p.begun >= (BALLOT_ROUNDS + self.settings.vote_rounds()) * round {
-                let own = match p.own {
+                let (own, needs) = match p.own {
                     // Its moment has come too near: what was not decided by now is not made.
-                    Value::Change { at, .. } if self.now + self.settings.margin() > at => self.void(),
-                    own => own,
+                    Value::Change { at, .. } if self.now + self.settings.margin() > at => {
+                        let (slot, members) = (self.decided + 1, p.missing());
+                        if !members.is_empty() {
+                            self.told.push(Told::Unanswered { slot, members });
+                        }
+                        (self.void(), BTreeSet::new())
+                    }
+                    own => (own, p.needs.clone()),
                 };
-                self.begin(own);
+                self.begin(own, needs);
             } else {
                 self.press();
             }
@@ -735,7 +855,7 @@
             if self.open_for() >= (TAKE_OVER_ROUNDS + self.settings.vote_rounds() + turn) * round
                 && self.votes_on(self.decided + 1)
             {
-                self.begin(self.void());
+                self.begin(self.void(), BTreeSet::new());
             }
         }
         if let Some(digest) = self.sought().first().copied() {
@@ -743,16 +863,41 @@
             to.into_iter().for_each(|to| self.want(to, digest));
         }
         let beat = self.own_beat();
-        for to in self.draw_peers(self.settings.fanout) {
+        for to in self.beaten() {
             self.send(to, beat.clone());
         }
     }
 
+    /// The members that this round's beat goes to: the same steps onward for all, drawn by the clock. So each takes
+    /// in as many as it sends, where peers drawn one by one would crowd at some.
+    fn beaten(&self) -> Vec<Member> {
+        let others = u64::from(self.settings.members - 1);
+        let count = u64::from(self.settings.fanout).min(others);
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut draw = self.now / self.settings.round;
+        // The splitmix64 finalizer (Steele, Lea and Flood, 2014).
+        draw = (draw ^ (draw >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        draw = (draw ^ (draw >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        draw ^= draw >> 31;
+        let part = others / count;
+        let onward = |n: u64| (n * part + draw.rotate_left(n as u32 * 7) % part + 1) as u32;
+        let (own, members) = (u32::from(self.settings.member), u32::from(self.settings.members));
+        (0..count).map(|n| ((own + onward(n)) % members) as Member).collect()
+    }
+
     fn own_beat(&self) -> Body {
         let reach = self.reach();
-        let word = |(member, heard): (usize, &Heard)| {
+        let members = self.settings.members;
+        let count = members.min(MOST_WORDS);
+        let first =
+            if count < members { (self.rounds * u64::from(count) % u64::from(members)) as u16 } else { 0 };
+        let word = |place: u16| {
+            let member = (u32::from(first) + u32::from(place)) % u32::from(members);
+            let heard = &self.heard[member as usize];
             let silent = Word { age: UNKNOWN, below: UNKNOWN };
-            let Some(at) = heard.at.filter(|_| member != usize::from(self.settings.member)) else {
+            let Some(at) = heard.at.filter(|_| member != u32::from(self.settings.member)) else {
                 return silent;
             };
             let age = self.now.saturating_sub(at).div_ceil(AGE_STEP);
@@ -768,7 +913,8 @@
             value: self.value,
             in_force: self.in_force == self.decided,
             forgetful: !self.votes_on(self.decided + 1),
-            words: self.heard.iter().enumerate().map(word).collect(),
+            first,
+            words: (0..count).map(word).collect(),
         }
     }
 
--- a/crates/accord/src/voting.rs
+++ b/crates/accord/src/voting.rs
@@ -87,20 +87,32 @@
     pub own: Value,
     pub phase: Phase,
     pub begun: Micros,
+    /// Members beside a majority without whose promise nothing is accepted.
+    pub needs: BTreeSet<Member>,
 }
 
 impl Proposer {
     /// Begins a ballot.
-    pub fn new(ballot: Ballot, own: Value, now: Micros) -> Proposer {
-        Proposer { ballot, own, phase: Phase::Preparing { promises: BTreeMap::new() }, begun: now }
+    pub fn new(ballot: Ballot, own: Value, needs: BTreeSet<Member>, now: Micros) -> Proposer {
+        Proposer { ballot, own, phase: Phase::Preparing { promises: BTreeMap::new() }, begun: now, needs }
     }
 
-    /// A promise came. Once there is a majority of them the value is settled: the one accepted in the highest
+    /// Members that it needs and that have promised nothing yet.
+    pub fn missing(&self) -> Vec<Member> {
+        match &self.phase {
+            Phase::Preparing { promises } => {
+                self.needs.iter().filter(|m| !promises.contains_key(m)).copied().collect()
+            }
+            Phase::Accepting { .. } => Vec::new(),
+        }
+    }
+
+    /// A promise came. Once there is a majority of them, and of all it needs, the value is settled: the one accepted in the highest
     /// ballot, else its own.
     pub fn promised(&mut self, member: Member, accepted: Option<(Ballot, Value)>, majority: usize) {
         let Phase::Preparing { promises } = &mut self.phase else { return };
         promises.insert(member, accepted);
-        if promises.len() >= majority {
+        if promises.len() >= majority && self.needs.iter().all(|m| promises.contains_key(m)) {
             let highest = promises.values().flatten().max_by_key(|(ballot, _)| *ballot);
             let (value, kept) = highest.map_or((self.own, false), |(_, value)| (*value, true));
             self.phase = Phase::Accepting { value, kept, accepted: BTreeSet::new() };
--- a/crates/accord/tests/checked.rs
+++ b/crates/accord/tests/checked.rs
@@ -81,7 +81,7 @@
         for (from, out) in sent {
             let lost = state.cut_off.is_some_and(|m| m == from || m == out.to || m == MEMBERS);
             if !lost {
-                state.nodes[usize::from(out.to)].hear(now, &out.bytes);
+                state.nodes[usize::from(out.to)].hear(now, &out.bytes).expect("it is whole");
             }
         }
         if state.round == PROPOSED_AT {
--- a/crates/accord/tests/tier/mod.rs
+++ b/crates/accord/tests/tier/mod.rs
@@ -96,7 +96,7 @@
             let clock = self.clock(usize::from(to));
             if let Some(node) = &mut self.nodes[usize::from(to)] {
                 self.taken_in[usize::from(to)] += 1;
-                node.hear(clock, &bytes);
+                node.hear(clock, &bytes).expect("it is whole");
             }
         }
         for member in 0..self.nodes.len() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -289,6 +289,23 @@
 }
 
 impl Fleet {
+    /// The fleet under a version of its rules.
+    pub fn under(&self, rules: &sedgestack_rules::Document) -> Fleet {
+        let mut fleet = self.clone();
+        for plan in &mut fleet.plans {
+            if let Some(new) = rules.plans.get(&plan.name) {
+                (plan.rate, plan.burst, plan.price) = (new.rate, new.burst, new.price);
+            }
+        }
+        for class in &mut fleet.classes {
+            if let Some(new) = rules.classes.get(&class.name) {
+                (class.aim, class.deadline) = (new.aim, new.deadline);
+            }
+        }
+        fleet.rules.max_retry_after = rules.max_retry_after;
+        fleet
+    }
+
     /// Reads and checks a file.
     ///
     /// # Errors
--- a/crates/kit/src/versions.rs
+++ b/crates/kit/src/versions.rs
@@ -127,7 +127,7 @@
     before: &Document,
     next: &Document,
 ) -> Result<Vec<PlanImpact>, Fault> {
-    let fleet = before.apply(&fleet(path)?);
+    let fleet = fleet(path)?.under(before);
     let bar = bar();
     bar.set_message("trying both versions");
     let source = if files.is_empty() {
@@ -137,7 +137,7 @@
         let fit = fit(&fleet, &tries);
         Source::Captured { tries: Box::new(tries), fit }
     };
-    let found = impact(&fleet, &next.apply(&fleet), &source, SEEDS);
+    let found = impact(&fleet, &fleet.under(next), &source, SEEDS);
     bar.finish_and_clear();
     Ok(found)
 }
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -94,7 +94,7 @@
     assert!(near(all, 0.04), "{all} of {}", units(&truth));
 
     let mut dropped = whole.clone();
-    let kept = |n: usize| n % 3 != 0;
+    let kept = |n: usize| !n.is_multiple_of(3);
     let count = dropped[1].records.len();
     let mut n = 0;
     dropped[1].records.retain(|_| {
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -12,6 +12,7 @@
 mod player;
 mod roster;
 pub mod scenarios;
+pub mod tier;
 mod workers;
 
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/rehearse/src/tier/mod.rs
@@ -0,0 +1,572 @@
+//! Tiers of real limiters with faults between them: every limiter is a process, and every datagram from one to
+//! another passes a relay.
+//!
+//! What happens is set off by events ("as limiter 2 sends its first accept"), so that a run hits the step it means
+//! whatever the machine's speed. Verdicts come from the record: see [`judge`].
+
+pub mod judge;
+mod relay;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicI32, AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+
+use sedgestack_fleet::{platform, Fleet};
+
+use crate::{counter, io, roster, Failure};
+use judge::{Found, Seen};
+use relay::Relay;
+pub use relay::{Cue, Deed, Weather};
+
+/// A run that waits for longer than this for what must come has failed.
+const HUNG: Duration = Duration::from_secs(60);
+/// A client gives up after this: frozen limiters answer nobody.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Between two looks at what is waited for.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What becomes of a limiter's store before it starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    Whole,
+    Gone,
+    /// Cut off in the middle.
+    Torn,
+}
+
+/// A tier to start.
+pub struct Options {
+    pub members: u32,
+    pub seed: u64,
+    /// The daemon's binary.
+    pub daemon: PathBuf,
+    /// Keys of the `tier` block, beside the store.
+    pub tier: String,
+    pub stores: bool,
+    /// What each limiter's clock is ahead of the machine's, milliseconds; 0 beyond the list's end.
+    pub clocks_ms: Vec<i64>,
+}
+
+/// Clock differences and faults that a tier of these settings must stand.
+pub const QUICK: &str = "round = \"100ms\"\n  lease = \"1s\"\n  skew = \"100ms\"\n  lead = \"3s\"\n  \
+                         intake = 100\n  unknown = \"refuse\"\n  rehearsal = true\n";
+
+struct Site {
+    listen: SocketAddr,
+    ops: SocketAddr,
+    config: PathBuf,
+    settings: PathBuf,
+    store: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
+    child: Mutex<Option<Child>>,
+    /// The process's id; 0 where there is none.
+    pid: Arc<AtomicI32>,
+}
+
+/// Threads that ask, and what stops them.
+type Load = (Arc<AtomicBool>, Vec<JoinHandle<()>>);
+
+/// What came back of a request.
+pub type Asked = Option<Seen>;
+
+/// A tier that runs.
+pub struct Tier {
+    sites: Arc<Vec<Site>>,
+    relay: Relay,
+    daemon: PathBuf,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    fleet: Fleet,
+    load: Mutex<Option<Load>>,
+    counter: counter::Counter,
+    _roster: roster::Roster,
+    _folder: TempDir,
+    _runtime: Runtime,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn unix_now() -> judge::Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as judge::Micros
+}
+
+/// An address that no other run on this machine uses at the same time: in the loopback range, by process and tier.
+fn address(tier: u32, member: u32, port: u16) -> SocketAddr {
+    let process = std::process::id();
+    let host = [127, 64 + (process >> 8 & 63) as u8, process as u8, (1 + tier * 12 + member) as u8];
+    (host, port).into()
+}
+
+/// A worker that answers everything at once.
+async fn worker() -> Result<SocketAddr, Failure> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io("a worker's socket"))?;
+    let address = listener.local_addr().map_err(io("a worker's address"))?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (read, mut write) = stream.into_split();
+                let mut lines = tokio::io::BufReader::new(read).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                    if line.is_empty() && write.write_all(answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+impl Tier {
+    /// Starts a tier and waits until all its limiters listen. They know no version yet: see [`Tier::adopt`].
+    ///
+    /// # Errors
+    /// Where a socket, a file or a daemon can't be had.
+    pub fn start(fleet: &Fleet, options: Options) -> Result<Tier, Failure> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let tier = NEXT.fetch_add(1, Relaxed) % 20;
+        let mut fleet = fleet.clone();
+        fleet.rooms.iter_mut().for_each(|r| r.limiters = 0);
+        fleet.rooms[0].limiters = options.members;
+        let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        let runtime = runtime.map_err(io("runtime"))?;
+        let peers: Vec<SocketAddr> = (0..options.members).map(|m| address(tier, m, 7946)).collect();
+        let (relay, counter, roster, worker) = runtime.block_on(async {
+            let worker = worker().await?;
+            let entry = json!({"id": "w0", "addr": worker.to_string(), "cell": 0, "zone": fleet.rooms[0].name,
+                               "state": "Ready", "weight": 1.0, "kind": fleet.kinds[0].name, "started_ms": 0});
+            let counter = counter::start(&fleet.counter).await?;
+            let roster = roster::Roster::start(&fleet, options.seed, vec![entry.clone()]).await?;
+            Ok::<_, Failure>((Relay::start(&peers, options.seed).await?, counter, roster, entry))
+        })?;
+        let folder = TempDir::with_prefix("sedgestack-tier-").map_err(io("a folder"))?;
+        let mut sites = Vec::new();
+        for member in 0..options.members {
+            let name = format!("n{member}");
+            let file = |kind: &str| folder.path().join(format!("{name}.{kind}"));
+            let mut settings = platform::settings_json(&fleet, member);
+            settings["caps"]["peerMessages"] = json!(true);
+            let (listen, ops) = (address(tier, member, 5000), address(tier, member, 9901));
+            let config = json!({
+                "name": name, "listen": listen.to_string(), "ops": ops.to_string(),
+                "discovery": roster.addresses[member as usize].to_string(),
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+                "counter": counter.address.to_string(), "peer_listen": peers[member as usize].to_string(),
+                "peers": relay.ports[member as usize].iter().map(ToString::to_string).collect::<Vec<_>>(),
+                "known": {"version": 1, "full": true, "servers": [worker]}, "settings": settings,
+            });
+            std::fs::write(file("json"), config.to_string()).map_err(io("a configuration"))?;
+            let store = file("redb");
+            let kept = if options.stores {
+                format!("store = {:?}\n  ", store.display().to_string())
+            } else {
+                String::new()
+            };
+            let offset = options.clocks_ms.get(member as usize).copied().unwrap_or(0);
+            let text = format!("tier {{\n  {kept}{}  clock_offset_ms = {offset}\n}}\n", options.tier);
+            std::fs::write(file("hcl"), text).map_err(io("settings"))?;
+            sites.push(Site {
+                listen,
+                ops,
+                config: file("json"),
+                settings: file("hcl"),
+                store,
+                log: Arc::default(),
+                child: Mutex::new(None),
+                pid: Arc::default(),
+            });
+        }
+        let tier = Tier {
+            sites: Arc::new(sites),
+            relay,
+            daemon: options.daemon,
+            seen: Arc::default(),
+            fleet,
+            load: Mutex::new(None),
+            counter,
+            _roster: roster,
+            _folder: folder,
+            _runtime: runtime,
+        };
+        for member in 0..options.members {
+            tier.spawn(member)?;
+        }
+        for member in 0..options.members {
+            tier.listens(member)?;
+        }
+        Ok(tier)
+    }
+
+    fn spawn(&self, member: u32) -> Result<(), Failure> {
+        let site = &self.sites[member as usize];
+        let mut command = Command::new(&self.daemon);
+        for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS"] {
+            command.env_remove(variable);
+        }
+        command.env("LB_CONFIG", &site.config).env("TMPDIR", self._folder.path());
+        command.arg("--settings").arg(&site.settings);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().map_err(io(self.daemon.display().to_string()))?;
+        let stderr = child.stderr.take().expect("it is piped");
+        let log = site.log.clone();
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                locked(&log).push(line);
+            }
+        });
+        site.pid.store(child.id() as i32, Relaxed);
+        *locked(&site.child) = Some(child);
+        Ok(())
+    }
+
+    fn listens(&self, member: u32) -> Result<(), Failure> {
+        let deadline = Instant::now() + HUNG;
+        while self.call(member, "GET", "health", "").is_none_or(|(status, _)| status != 200) {
+            let log = || self.log(member).join(" | ");
+            let ended = locked(&self.sites[member as usize].child)
+                .as_mut()
+                .is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))));
+            if ended {
+                return Err(Failure::DaemonEnded { name: format!("n{member}"), log: log() });
+            }
+            if Instant::now() > deadline {
+                let (name, seconds) = (format!("n{member}"), HUNG.as_secs());
+                return Err(Failure::NotReady { name, seconds, log: log() });
+            }
+            std::thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    /// A limiter's log so far, over all its processes.
+    pub fn log(&self, member: u32) -> Vec<String> {
+        locked(&self.sites[member as usize].log).clone()
+    }
+
+    /// Tells every limiter that the tier is new.
+    pub fn adopt(&self) {
+        for member in 0..self.sites.len() as u32 {
+            self.call(member, "PUT", "rules/adopt", "");
+        }
+        self.until("all are current", || self.all(|s| s["standing"] == "current"));
+    }
+
+    /// Whether something holds of what every limiter that runs and answers tells.
+    pub fn all(&self, of: impl Fn(&Value) -> bool) -> bool {
+        let runs = |m: &u32| self.sites[*m as usize].pid.load(Relaxed) != 0;
+        (0..self.sites.len() as u32).filter(runs).all(|m| self.status(m).is_some_and(|s| of(&s)))
+    }
+
+    /// Waits for what must come.
+    ///
+    /// # Panics
+    /// Where it has not come in a minute: with the logs.
+    pub fn until(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let deadline = Instant::now() + HUNG;
+        while !holds() {
+            if Instant::now() > deadline {
+                let told: Vec<_> = (0..self.sites.len() as u32)
+                    .map(|m| {
+                        (
+                            self.status(m).map(|s| s.to_string()),
+                            self.log(m).split_off(self.log(m).len().saturating_sub(12)),
+                        )
+                    })
+                    .collect();
+                panic!("never came: {what}\n{told:#?}");
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    /// One call at a limiter's operators' address: status and text; `None` where nobody answers.
+    pub fn call(&self, member: u32, method: &str, call: &str, body: &str) -> Option<(u16, String)> {
+        let head =
+            format!("{method} /admin/{call} HTTP/1.1\r\nHost: n\r\nContent-Length: {}\r\n\r\n", body.len());
+        let (status, _, text) = exchange(self.sites[member as usize].ops, &(head + body))?;
+        Some((status, text))
+    }
+
+    /// What a limiter tells of its rules.
+    pub fn status(&self, member: u32) -> Option<Value> {
+        let (status, text) = self.call(member, "GET", "rules", "")?;
+        serde_json::from_str(&text).ok().filter(|_| status == 200)
+    }
+
+    /// The version in force at a limiter.
+    pub fn version(&self, member: u32) -> Option<u64> {
+        self.status(member)?["version"].as_u64()
+    }
+
+    /// The next version at a limiter: the document in force there with another rate for a plan.
+    pub fn next(&self, member: u32, plan: &str, rate: f64) -> String {
+        let status = self.status(member).unwrap_or_default();
+        let text = status["text"].as_str().unwrap_or_default();
+        let (_, rest) = text.split_once("\n}\n").unwrap_or_default();
+        let (before, after) = rest.split_once(&format!("plan {plan:?} {{\n")).unwrap_or_default();
+        let (_, after) = after.split_once('\n').unwrap_or_default();
+        format!(
+            "version {{\n  parent = {}\n  author = \"n{member}\"\n  reason = \"a change for a rehearsal\"\n}}\n\
+             {before}plan {plan:?} {{\n  rate  = {rate}\n{after}",
+            status["version"]
+        )
+    }
+
+    /// Stages and begins a change at a limiter: its version, or the status and text of what was refused.
+    ///
+    /// # Errors
+    /// The answer that is not yes; status 0 where nobody answers.
+    pub fn change(&self, member: u32, document: &str, scope: &str) -> Result<u64, (u16, String)> {
+        let answer = |call: &str, body: &str| match self.call(member, "PUT", call, body) {
+            Some((200, text)) => serde_json::from_str::<Value>(&text).map_err(|e| (200, e.to_string())),
+            Some(no) => Err(no),
+            None => Err((0, "no answer".into())),
+        };
+        let staged = answer("rules/stage", document)?;
+        let digest = staged["digest"].as_str().unwrap_or_default();
+        let begun = answer(&format!("rules/commit?digest={digest}{scope}"), "")?;
+        Ok(begun["version"].as_u64().unwrap_or(0))
+    }
+
+    /// One request of a customer at a limiter, kept in the record where it was answered.
+    pub fn ask(&self, member: u32) -> Asked {
+        ask(&self.fleet, member, self.sites[member as usize].listen, &self.seen)
+    }
+
+    /// Asks every limiter without a pause, on threads of their own, until [`Tier::rest`].
+    pub fn load(&self) {
+        let stop = Arc::new(AtomicBool::new(false));
+        let threads = (0..self.sites.len() as u32).map(|member| {
+            let (stop, seen, fleet) = (stop.clone(), self.seen.clone(), self.fleet.clone());
+            let address = self.sites[member as usize].listen;
+            std::thread::spawn(move || {
+                while !stop.load(Relaxed) {
+                    if ask(&fleet, member, address, &seen).is_none() {
+                        std::thread::sleep(Duration::from_millis(5));
+                    }
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            })
+        });
+        let threads = threads.collect();
+        *locked(&self.load) = Some((stop, threads));
+    }
+
+    /// Ends the load.
+    pub fn rest(&self) {
+        if let Some((stop, threads)) = locked(&self.load).take() {
+            stop.store(true, Relaxed);
+            threads.into_iter().for_each(|t| drop(t.join()));
+        }
+    }
+
+    /// Judges the record against the bound, which the clocks' difference gives.
+    pub fn judge(&self, bound: judge::Micros) -> Found {
+        let members = 0..self.sites.len() as u32;
+        let histories: Vec<Value> =
+            members.filter_map(|m| self.status(m)).map(|s| s["history"].clone()).collect();
+        judge::judge(&locked(&self.seen), &histories, bound)
+    }
+
+    // == Faults =====================================================================================
+
+    fn signal(&self, member: u32, signal: Signal) {
+        send(&self.sites[member as usize].pid, signal);
+    }
+
+    /// Kills a limiter's process outright.
+    pub fn kill(&self, member: u32) {
+        self.signal(member, Signal::KILL);
+        self.gone(member);
+    }
+
+    /// Waits for a process that was killed, or told to leave, to be gone.
+    fn gone(&self, member: u32) {
+        let site = &self.sites[member as usize];
+        if let Some(mut child) = locked(&site.child).take() {
+            let _ = child.wait();
+        }
+        site.pid.store(0, Relaxed);
+    }
+
+    /// Ends a limiter's process in order.
+    pub fn term(&self, member: u32) {
+        self.signal(member, Signal::TERM);
+        self.gone(member);
+    }
+
+    /// Stops a process where it stands; its sockets stay open.
+    pub fn freeze(&self, member: u32) {
+        self.signal(member, Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self, member: u32) {
+        self.signal(member, Signal::CONT);
+    }
+
+    /// Tells a process to read its configuration again.
+    pub fn hang_up(&self, member: u32) {
+        self.signal(member, Signal::HUP);
+    }
+
+    /// Starts a limiter that is gone again, with what is left of its store.
+    ///
+    /// # Errors
+    /// Where it does not come up.
+    pub fn restart(&self, member: u32, kept: Kept) -> Result<(), Failure> {
+        self.gone(member);
+        let store = &self.sites[member as usize].store;
+        match kept {
+            Kept::Whole => {}
+            Kept::Gone => {
+                let _ = std::fs::remove_file(store);
+            }
+            Kept::Torn => {
+                let bytes = std::fs::read(store).map_err(io("a store"))?;
+                std::fs::write(store, &bytes[..bytes.len() / 3]).map_err(io("a store"))?;
+            }
+        }
+        self.spawn(member)?;
+        self.listens(member)
+    }
+
+    /// The counter answers nothing from now on.
+    pub fn lose_counter(&self) {
+        self.counter.lose();
+    }
+
+    /// The links between limiters: weather, cuts and splits.
+    pub fn links(&self) -> Links<'_> {
+        Links(self)
+    }
+
+    /// Kills `victim` as a cue comes, before that datagram goes on, and waits until it is done.
+    pub fn kill_at(&self, cue: Cue, victim: u32) -> Waits<'_> {
+        let pid = self.sites[victim as usize].pid.clone();
+        Waits {
+            tier: self,
+            victim,
+            done: self.relay.arrange(cue, Box::new(move || send(&pid, Signal::KILL))),
+        }
+    }
+}
+
+/// A kill that is arranged.
+pub struct Waits<'a> {
+    tier: &'a Tier,
+    victim: u32,
+    done: tokio::sync::watch::Receiver<bool>,
+}
+
+impl Waits<'_> {
+    /// Waits for the cue to have come and the process to be gone.
+    pub fn until_done(self) {
+        self.tier.until("the cue", || *self.done.borrow());
+        self.tier.gone(self.victim);
+    }
+}
+
+/// What can be done to the links of a tier.
+pub struct Links<'a>(&'a Tier);
+
+impl Links<'_> {
+    /// Sets what happens on the links that stand.
+    pub fn weather(&self, weather: Weather) {
+        self.0.relay.weather(weather);
+    }
+
+    /// Cuts the link from one to another; the way back stands.
+    pub fn cut(&self, from: u32, to: u32) {
+        self.0.relay.cut(from, to);
+    }
+
+    /// Cuts all links between groups.
+    pub fn split(&self, groups: &[&[u32]]) {
+        self.0.relay.split(groups);
+    }
+
+    /// All links stand again.
+    pub fn mend(&self) {
+        self.0.relay.mend();
+    }
+
+    /// Datagrams that came, went on, were lost to a cut, and to the weather.
+    pub fn counts(&self) -> [u64; 4] {
+        self.0.relay.counts()
+    }
+}
+
+fn send(pid: &AtomicI32, signal: Signal) {
+    if let Some(pid) = Pid::from_raw(pid.load(Relaxed)) {
+        let _ = kill_process(pid, signal);
+    }
+}
+
+impl Drop for Tier {
+    fn drop(&mut self) {
+        self.rest();
+        for member in 0..self.sites.len() as u32 {
+            self.kill(member);
+        }
+    }
+}
+
+/// One exchange on a connection of its own: status, head and body.
+fn exchange(address: SocketAddr, request: &str) -> Option<(u16, String, String)> {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut reader = BufReader::new(stream);
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        let line = line.to_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+        head += &line;
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, head, String::from_utf8(body).ok()?))
+}
+
+fn ask(fleet: &Fleet, member: u32, address: SocketAddr, seen: &Mutex<Vec<Seen>>) -> Asked {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let number = NEXT.fetch_add(1, Relaxed);
+    let class = &fleet.classes[0].name;
+    let plan = &fleet.plans[(number % fleet.plans.len() as u64) as usize].name;
+    let request = format!(
+        "GET /{class}/{:016x} HTTP/1.1\r\nHost: n\r\nX-Request-Id: {number:016x}\r\nX-Class: {class}\r\n\
+         X-Contract: {plan}\r\nX-Deadline-Ms: 1000\r\nX-Metering: units=1,spread=1,first={member}\r\n\r\n",
+        number % 5_000
+    );
+    let sent = unix_now();
+    let (status, head, _) = exchange(address, &request)?;
+    let version = head.lines().find_map(|l| l.strip_prefix("x-rules:")?.trim().parse().ok());
+    let one = Seen { limiter: member, sent, answered: unix_now(), status, version };
+    locked(seen).push(one.clone());
+    Some(one)
+}
--- a/crates/rules/src/differences.rs
+++ b/crates/rules/src/differences.rs
@@ -35,7 +35,7 @@
 }
 
 fn ms(span: Micros) -> String {
-    if span % 1_000_000 == 0 {
+    if span.is_multiple_of(1_000_000) {
         format!("{} s", span / 1_000_000)
     } else {
         format!("{} ms", span as f64 / 1e3)
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,8 +1,7 @@
 //! Documents of what may change in service: plans, classes, limits and addresses, in HCL.
 //!
 //! A [`Document`] is whole: it says everything that may change, not only what does. [`Document::check`] holds it
-//! against the one before, [`differences`] says in words what changes, and [`Document::apply`] puts it into a
-//! fleet, so that both versions can be tried in the model. What limiters agree on is its text, by its digest.
+//! against the one before, and [`differences`] says in words what changes. What limiters agree on is its text, by its digest.
 #![forbid(unsafe_code)]
 
 mod decode;
@@ -16,8 +15,6 @@
 pub use sedgestack_accord::Digest;
 pub use sedgestack_hcl::{Fault, Micros};
 
-use sedgestack_fleet::Fleet;
-
 /// A rate, burst, price, aim or deadline that changes by more than this factor needs its key among the overrides.
 pub const FACTOR: f64 = 2.0;
 
@@ -93,20 +90,31 @@
         decode::against(self, file, before)
     }
 
-    /// The fleet under this version.
-    pub fn apply(&self, fleet: &Fleet) -> Fleet {
-        let mut fleet = fleet.clone();
-        for plan in &mut fleet.plans {
-            if let Some(new) = self.plans.get(&plan.name) {
-                (plan.rate, plan.burst, plan.price) = (new.rate, new.burst, new.price);
-            }
+    /// The first version's text, from figures that a limiter was configured with: the same figures give the same
+    /// text at every limiter.
+    pub fn of(
+        plans: &BTreeMap<String, Plan>,
+        classes: &BTreeMap<String, Class>,
+        max_retry_after: Micros,
+    ) -> String {
+        let mut text = String::from(
+            "version {\n  parent = 0\n  author = \"configuration\"\n  reason = \"as the limiters were configured\"\n}\n",
+        );
+        for (name, p) in plans {
+            text += &format!(
+                "\nplan \"{name}\" {{\n  rate  = {}\n  burst = {}\n  price = {}\n}}\n",
+                p.rate, p.burst, p.price
+            );
+        }
+        for (name, c) in classes {
+            text += &format!(
+                "\nclass \"{name}\" {{\n  aim      = \"{}us\"\n  deadline = \"{}us\"\n}}\n",
+                c.aim, c.deadline
+            );
         }
-        for class in &mut fleet.classes {
-            if let Some(new) = self.classes.get(&class.name) {
-                (class.aim, class.deadline) = (new.aim, new.deadline);
-            }
+        if max_retry_after > 0 {
+            text += &format!("\nlimits {{\n  max_retry_after = \"{max_retry_after}us\"\n}}\n");
         }
-        fleet.rules.max_retry_after = self.max_retry_after;
-        fleet
+        text
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -673,8 +673,8 @@
         self.last_rank = ranks.get(SET_OF.max(shared) - 1).copied().unwrap_or(u64::MAX);
     }
 
-    /// How much slower than its like a backend looks now. Silence is not health: the age of the oldest attempt
-    /// counts as latency seen.
+    /// How much slower than its like a backend looks now. Silence is not health: the age of the oldest
+    /// attempt counts as latency seen.
     pub(crate) fn slowness(&self, b: &Backend) -> f64 {
         let silent = |f: &(Micros, RequestId, u32, usize)| (self.now - f.0) as f64 / self.base[f.3];
         let silence = b.flights.first().map_or(0.0, silent);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -51,12 +51,17 @@
     Json,
 }
 
+/// What a tier's settings bound.
+fn tier(settings: &settings::Settings) -> String {
+    settings.tier.as_ref().map_or(String::new(), |t| format!("; {}", t.mixing()))
+}
+
 /// Checks a file; the answer, and whether the file is in order.
 pub fn check(file: &Path, format: Format) -> (String, bool) {
     let found = if file.extension().is_some_and(|e| e == "hcl") {
         settings::read(file).map_err(|e| e.to_string()).map(|s| match &s.capture {
-            Some(capture) => format!("capture to {}", capture.file),
-            None => "no capture".to_string(),
+            Some(capture) => format!("capture to {}{}", capture.file, tier(&s)),
+            None => format!("no capture{}", tier(&s)),
         })
     } else {
         config::read_file(file).map_err(|e| e.to_string()).map(|c| {
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,7 +25,8 @@
 use net::recorder::Recorder;
 use net::settings::{self, Settings};
 use net::shutdown::{Phase, Signals};
-use net::{cordons, front, list, log};
+use net::tier::{Base, Tier};
+use net::{cordons, front, list, log, tier};
 
 /// Room of the module's mailbox and of those of the list, the counter and the peers.
 const MODULE_MAILBOX: usize = 4096;
@@ -33,7 +34,11 @@
 /// Room of the mailbox of the operators' calls.
 const CONTROL_MAILBOX: usize = 16;
 
-async fn run(config: Config, recorder: Option<Recorder>) -> Result<(), String> {
+async fn run(
+    config: Config,
+    tier_settings: Option<settings::Tier>,
+    recorder: Option<Recorder>,
+) -> Result<(), String> {
     let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let gateway =
@@ -63,13 +68,19 @@
         tokio::spawn(actor.run());
         counter = Some(calls);
     }
+    let base =
+        tier_settings.as_ref().map(|_| Base::of(&config)).transpose().map_err(|e| format!("tier: {e}"))?;
+    let (datagrams, agreed) = mpsc::channel(SMALL_MAILBOX);
     let mut peers = None;
     if let (Some(listen), true) = (config.peer_listen, config.settings.peer_messages) {
-        let actor = Peers::bind(listen, config.peers, config.peers_all, config.settings.gateway)
+        // Guards votes: two processes under one number would be one member with two minds.
+        let shared = tier_settings.is_none();
+        let actor = Peers::bind(listen, config.peers, config.peers_all, config.settings.gateway, shared)
             .await
             .map_err(|e| format!("peer_listen: {listen}: {e}"))?;
         let (messages, mailbox) = mpsc::channel(SMALL_MAILBOX);
-        tokio::spawn(actor.run(mailbox, module.clone()));
+        let tier = tier_settings.as_ref().map(|_| datagrams);
+        tokio::spawn(actor.run(mailbox, module.clone(), tier));
         peers = Some(messages);
     }
 
@@ -83,7 +94,7 @@
         max_attempts: config.settings.max_attempts,
         counter,
         count_wait: config::span(config.settings.counter_timeout.unwrap_or(0)),
-        peers,
+        peers: peers.clone(),
         recorder,
         ready: ready.clone(),
         figures: figures.clone(),
@@ -95,8 +106,30 @@
             .into_iter()
             .map(Into::into)
             .collect(),
+        rules: tier_settings.as_ref().map(|t| (t.unknown, t.wait)),
     };
     let (control, controls) = mpsc::channel(CONTROL_MAILBOX);
+    let mut tier = None;
+    if let Some((settings, base)) = tier_settings.zip(base) {
+        let expected = "tier: expected caps.peerMessages, peer_listen and peers in the configuration";
+        let peers = peers.ok_or(expected)?;
+        let (store, kept) = tier::open(settings.store.as_deref(), &config.name)?;
+        let ties = tier::Ties {
+            clock,
+            settings,
+            members: config.settings.gateways,
+            number: config.settings.gateway,
+            base,
+            store,
+            kept,
+            seed: config.seed,
+            peers,
+            module: control.clone(),
+        };
+        let (calls, asked) = mpsc::channel(CONTROL_MAILBOX);
+        tokio::spawn(Tier::new(ties)?.run(agreed, asked));
+        tier = Some(calls);
+    }
     let decisions = tokio::spawn(Module::new(gateway, ties).run(changes, controls, mailbox));
 
     let (phase, stopping) = watch::channel(Phase::Serving);
@@ -105,7 +138,7 @@
         if let Some(store) = store.clone() {
             tokio::spawn(cordons::follow(store, order.clone(), control.clone()));
         }
-        let ops = Ops { figures: figures.clone(), phase: phase.clone(), control, store, order };
+        let ops = Ops { figures: figures.clone(), phase: phase.clone(), control, store, order, tier };
         tokio::spawn(ops::serve(listener, ops));
     }
     let longest = config::span(config.limits.longest_deadline);
@@ -152,7 +185,9 @@
     let (recorder, writing) = capture(settings, &config).unzip();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     // The recorder goes with the runtime, and its thread then ends the file.
-    let ended = runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(run(config, recorder)));
+    let ended = runtime
+        .map_err(|e| e.to_string())
+        .and_then(|r| r.block_on(run(config, settings.tier.clone(), recorder)));
     let whole = writing.is_none_or(|thread| thread.join().is_ok());
     log::print_counters();
     ended.map_err(|why| format!("{name}: {why}"))?;
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -162,7 +162,7 @@
         let mut seen = self.head.load(Relaxed);
         let mut rest = bytes;
         while let (Some((byte, after)), true) = (rest.split_first(), seen < BLANK) {
-            let expected = if seen % 2 == 0 { b'\r' } else { b'\n' };
+            let expected = if seen.is_multiple_of(2) { b'\r' } else { b'\n' };
             seen = match *byte {
                 b if b == expected => seen + 1,
                 b'\r' => 1,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -47,6 +47,8 @@
 const MOST_SKIPPED: usize = 1 << 20;
 /// Bytes of a request held unread at once: bounds memory over all front sockets.
 const LARGEST_HEAD: usize = 64 << 10;
+/// The version of the rules that a request was taken under, where limiters agree on versions.
+const X_RULES: HeaderName = HeaderName::from_static("x-rules");
 /// A connection that the machine accepted has so long for its first request, also in a drain or a stop.
 const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(450);
 /// After an accept that failed, the next one waits: descriptors come free in this time, and not at once.
@@ -318,13 +320,17 @@
     let mut waiting = Waiting { id, module: front.module.clone(), answered: false };
     let reply = timeout_at(deadline - LAST_RESORT.min(head.patience), answer).await;
     let mut response = match reply {
-        Ok(Ok(reply)) => {
+        Ok(Ok((reply, version))) => {
             waiting.answered = true;
-            match reply {
+            let mut response = match reply {
                 Reply::Served(body) => Response::new(Body::from(body)),
                 Reply::Busy { retry_after } => busy(retry_after),
                 Reply::Failed => StatusCode::BAD_GATEWAY.into_response(),
+            };
+            if let Some(version) = version {
+                response.headers_mut().insert(X_RULES, version.into());
             }
+            response
         }
         // Guards the one answer in time against a reply lost inside: nobody knows whether it ran, so it
         // has failed. The module hears of it as of a client that went away.
@@ -583,11 +589,13 @@
         for (reply, status, after) in replies {
             let mut answer = routes.call(request("480"));
             assert!(futures_util::poll!(&mut answer).is_pending());
-            taken(mail.recv().await).reply.send(reply).expect("the front waits");
+            let version = (status == 200).then_some(7);
+            taken(mail.recv().await).reply.send((reply, version)).expect("the front waits");
             let answer = answer.await.expect("an answer");
             assert_eq!(answer.status().as_u16(), status);
             let header = |name| answer.headers().get(name).map(|v: &HeaderValue| v.to_str().expect("text"));
             assert_eq!((header("retry-after"), header("connection")), (after, None));
+            assert_eq!(header("x-rules"), version.map(|_| "7"));
         }
         phase.send_replace(Phase::Stopping);
         let ready = axum::http::Request::get("/ready").body(Body::empty()).expect("a request");
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -7,7 +7,8 @@
 use axum::http::uri::PathAndQuery;
 use axum::http::{HeaderValue, Method};
 use bytes::Bytes;
-use sedgestack::{BackendId, CounterName, LoadReport, Micros, Outcome, Request, RequestId};
+use sedgestack::{BackendId, Class, CounterName, LoadReport, Micros, Outcome, Plan, Request, RequestId};
+use sedgestack_accord::Digest;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -83,7 +84,30 @@
     pub forward: Arc<Forward>,
     pub origin: Origin,
     pub deadline: Instant,
-    pub reply: oneshot::Sender<Reply>,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// A reply, and the version of the rules that the request was taken under, where there are versions.
+pub type Answer = (Reply, Option<u64>);
+
+/// A version of the rules as the configuration's places word it.
+#[derive(Clone, Debug)]
+pub struct NewRules {
+    pub number: u64,
+    pub digest: Digest,
+    pub classes: Vec<Class>,
+    pub plans: Vec<Plan>,
+    /// By class: the longest that a request may wait.
+    pub deadlines: Vec<Micros>,
+    pub max_retry_after: Micros,
+}
+
+/// What the agreement knows of the rules in force: see [`super::rules::Word`].
+#[derive(Debug)]
+pub struct ToldRules {
+    pub current: NewRules,
+    pub next: Option<(Micros, NewRules)>,
+    pub until: Micros,
 }
 
 /// What arrives in the module's mailbox.
@@ -96,11 +120,13 @@
     Peer { from: u32, bytes: Vec<u8> },
 }
 
-/// What the operators' address asks of the module, through a mailbox of its own.
+/// What the operators' address and the tier ask of the module, through a mailbox of its own.
 pub enum Control {
     /// Take server `name` out (`out`) or let it back; the names that are out then, `None` for a server that
     /// is not known.
     Cordon { name: String, out: bool, reply: oneshot::Sender<Option<Vec<String>>> },
     /// These and no others are out: another process on the same addresses was told so.
     Cordons { names: BTreeSet<String>, reply: oneshot::Sender<()> },
+    /// What is in force, and until when that is known.
+    Rules(Box<ToldRules>),
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -109,6 +109,19 @@
     list_watches,
     /// Entries of the list that could not be read.
     list_unreadable,
+    /// Datagrams of the agreement: sent, taken in, dropped as over what is taken in a second, of a format that is
+    /// not known here, and damaged ones or no member's.
+    tier_sent,
+    tier_taken_in,
+    tier_over,
+    tier_unknown_format,
+    tier_unheard,
+    /// Writes of the agreement's memory, those that failed, and files set aside at a start.
+    tier_saved,
+    tier_unsaved,
+    tier_set_aside,
+    /// Requests refused as the version of the rules in force was not known.
+    rules_unknown,
     peer_sent,
     peer_received,
     /// Reloads of the configuration, and those refused for a fault in it.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,9 +19,11 @@
 pub mod pool;
 pub mod recorder;
 pub mod reuse;
+pub mod rules;
 pub mod settings;
 pub mod shutdown;
 pub mod sockets;
+pub mod tier;
 
 /// Settings of the checks by random steps: the same steps at every run.
 #[cfg(test)]
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -20,10 +20,14 @@
 use super::counter;
 use super::destination::{Fleet, Handle, Order, RouteStep};
 use super::figures::Figures;
-use super::mail::{Control, Counted, Forward, Mail, Origin, Reply, StepEnd, Taken};
+use super::mail::{
+    Answer, Control, Counted, Forward, Mail, NewRules, Origin, Reply, StepEnd, Taken, ToldRules,
+};
 use super::metrics::COUNTERS;
+use super::peers::Letter;
 use super::pool::Change;
 use super::recorder::{Entry, Recorder};
+use super::rules::{Rules, Unknown, Version, Word};
 use crate::say;
 
 /// Mail handled in one batch at most: a flood must not keep timers waiting.
@@ -32,12 +36,17 @@
 /// Servers come to be avoided, or no longer, between changes of the list: the figures hear of it this often.
 const MEMBERS_EVERY: Micros = 250_000;
 
+/// What a client is told to wait that comes while the version in force is not known: a beat or two.
+const RULES_UNKNOWN_WAIT: Micros = 500_000;
+
 /// A request taken, until its last route step has ended.
 struct Open {
     forward: Arc<Forward>,
     deadline: Instant,
     /// Gone once the final answer is out, or nobody waits for it.
-    reply: Option<oneshot::Sender<Reply>>,
+    reply: Option<oneshot::Sender<Answer>>,
+    /// The version of the rules that it was taken under, and the longest time to come back that it allows.
+    version: Option<(u64, Micros)>,
     /// Who took the route steps, in order (an actor that was replaced still has its own), and how many are
     /// out.
     steps: Vec<Option<Handle>>,
@@ -54,13 +63,16 @@
     pub max_attempts: u32,
     pub counter: Option<mpsc::Sender<counter::Call>>,
     pub count_wait: Duration,
-    pub peers: Option<mpsc::Sender<Vec<u8>>>,
+    pub peers: Option<mpsc::Sender<Letter>>,
     pub recorder: Option<Recorder>,
     /// Set once a request could be decided.
     pub ready: Arc<AtomicBool>,
     pub figures: Arc<Figures>,
     /// Servers taken out by hand before this start.
     pub cordoned: BTreeSet<BackendId>,
+    /// Where limiters agree on versions of the rules: what is done while the one in force is not known, and how
+    /// long is waited before.
+    pub rules: Option<(Unknown, Micros)>,
 }
 
 /// The module's actor.
@@ -83,6 +95,8 @@
     cordoned: BTreeSet<BackendId>,
     /// The list or the servers taken out changed in this batch: the figures are to be told.
     members_changed: bool,
+    /// The versions of the rules, once the tier has told of them.
+    rules: Option<Rules>,
     /// When the figures were last told of the servers that the decisions avoid.
     members_told: Micros,
 }
@@ -108,6 +122,7 @@
             cordoned,
             members_changed: true,
             members_told: 0,
+            rules: None,
         }
     }
 
@@ -234,9 +249,37 @@
                 out.into_iter().for_each(|backend| self.cordon(backend, true));
                 let _ = reply.send(());
             }
+            Control::Rules(told) => self.rules_told(*told),
         }
     }
 
+    /// Takes in what the agreement knows. What a version brings finds its place before its moment comes.
+    fn rules_told(&mut self, told: ToldRules) {
+        let current = self.version(told.current);
+        let next = told.next.and_then(|(from, rules)| Some((from, self.version(rules)?)));
+        let (Some(current), Some((unknown, wait))) = (current, self.ties.rules) else { return };
+        let word = Word { current, next, until: told.until };
+        match &mut self.rules {
+            Some(rules) => rules.told(word),
+            None => self.rules = Some(Rules::new(word, unknown, wait)),
+        }
+    }
+
+    fn version(&mut self, rules: NewRules) -> Option<Version> {
+        // Documents were checked before they were voted for: a limiter that was started with other classes and
+        // plans than the rest can't go over, and says so.
+        let places = self.gateway.adopt(&rules.classes, &rules.plans);
+        let places =
+            places.map_err(|e| say!("rules: version {}: {e}; it is not taken in", rules.number)).ok()?;
+        Some(Version {
+            number: rules.number,
+            digest: rules.digest,
+            places: Arc::new(places),
+            deadlines: rules.deadlines.into(),
+            max_retry_after: rules.max_retry_after,
+        })
+    }
+
     /// Takes a server out or lets it back, for the decisions to know before the next request. Its actor is
     /// closed, so that no route step already given to it begins; one let back gets a new actor.
     fn cordon(&mut self, backend: BackendId, out: bool) {
@@ -284,20 +327,39 @@
                 let key = taken.forward.key.as_ref().map(|k| k.as_bytes());
                 recorder.record(self.entry(&told, key, CapturedOutcome::TurnedAway, None, 0));
             }
-            let _ = taken.reply.send(Reply::Busy { retry_after: 0 });
+            let _ = taken.reply.send((Reply::Busy { retry_after: 0 }, None));
             return;
         }
         COUNTERS.taken.one();
         let mut request = taken.request;
-        let left = taken.deadline.saturating_duration_since(Instant::now());
+        let mut deadline = taken.deadline;
+        let told = self.ties.recorder.as_ref().map(|_| Box::new((request.clone(), taken.origin)));
+        let mut version = None;
+        if self.ties.rules.is_some() {
+            let now = self.ties.clock.now();
+            let Some(rules) = self.rules.as_mut().and_then(|r| r.at(now)) else {
+                COUNTERS.rules_unknown.one();
+                COUNTERS.busy_replies.one();
+                let _ = taken.reply.send((Reply::Busy { retry_after: RULES_UNKNOWN_WAIT }, None));
+                return;
+            };
+            version = Some((rules.number, rules.max_retry_after));
+            let longest = rules.deadlines.get(request.class).copied().unwrap_or(Micros::MAX);
+            deadline = deadline.min(taken.origin.came + Duration::from_micros(longest));
+            let place = |places: &[usize], n: usize| places.get(n).copied().unwrap_or(n);
+            request.class = place(&rules.places.classes, request.class);
+            request.plan = place(&rules.places.plans, request.plan);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
         request.patience = left.as_micros() as Micros;
         let open = Open {
             forward: taken.forward,
-            deadline: taken.deadline,
+            deadline,
             reply: Some(taken.reply),
+            version,
             steps: Vec::new(),
             out: 0,
-            told: self.ties.recorder.as_ref().map(|_| Box::new((request.clone(), taken.origin))),
+            told,
         };
         self.requests.insert(request.id, open);
         self.events.push(Event::Request(request));
@@ -309,7 +371,7 @@
         if let (Outcome::Ok, Some(body)) = (end.outcome, end.body) {
             if let Some(reply) = open.reply.take() {
                 COUNTERS.served.one();
-                let _ = reply.send(Reply::Served(body));
+                let _ = reply.send((Reply::Served(body), open.version.map(|(number, _)| number)));
                 self.record(end.request, CapturedOutcome::Served, Some(end.attempt as usize));
             }
         }
@@ -347,6 +409,7 @@
                 self.events.push(Event::Timer);
             }
         }
+        self.tell_ready(now);
         if self.events.is_empty() {
             return;
         }
@@ -363,11 +426,18 @@
             let (all, out) = self.gateway.members();
             self.ties.figures.members(all, out);
         }
-        if !self.ties.ready.load(Relaxed) {
-            let serving = |l: &Listed| l.state == BackendState::InService;
-            let ready = self.destinations.values().any(|(_, listed)| serving(listed));
-            self.ties.ready.store(ready, Relaxed);
+    }
+
+    /// Ready once a server is there and, where limiters agree on versions, for as long as one is known to be in
+    /// force; without versions a limiter that was ready stays so.
+    fn tell_ready(&mut self, now: Micros) {
+        let versions = self.ties.rules.is_some();
+        if !versions && self.ties.ready.load(Relaxed) {
+            return;
         }
+        let known = !versions || self.rules.as_mut().is_some_and(|r| r.at(now).is_some());
+        let serves = self.destinations.values().any(|(_, listed)| listed.state == BackendState::InService);
+        self.ties.ready.store(known && serves, Relaxed);
     }
 
     fn act(&mut self, now: Micros, action: Action) {
@@ -405,7 +475,7 @@
             Action::Subscribe => {}
             Action::TellPeers { bytes } => {
                 if let Some(peers) = &self.ties.peers {
-                    let _ = peers.try_send(bytes);
+                    let _ = peers.try_send(Letter::All(bytes));
                 }
             }
             Action::SetTimer { after } => self.timers.push(Reverse(now + after)),
@@ -436,7 +506,13 @@
                 _ => (&COUNTERS.failed, CapturedOutcome::Failed),
             };
             count.one();
-            let _ = waiting.send(reply);
+            let reply = match (reply, open.version) {
+                (Reply::Busy { retry_after }, Some((_, most))) => {
+                    Reply::Busy { retry_after: retry_after.min(most) }
+                }
+                (reply, _) => reply,
+            };
+            let _ = waiting.send((reply, open.version.map(|(number, _)| number)));
             self.record(id, outcome, None);
         }
         self.tidy(id);
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -5,20 +5,24 @@
 //! and has [`ANSWER_WITHIN`] from its accept to its answer; a caller that sends nothing, or half a call, is
 //! closed then and holds no place for longer.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::body::Body;
 use axum::extract::State;
 use axum::http::{header, HeaderMap, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, put};
 use axum::Router;
+use http_body_util::{BodyExt, Limited};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use percent_encoding::percent_decode_str;
+use sedgestack_accord::LONGEST_DOCUMENT;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Mutex, Semaphore};
 use tokio::time::{sleep_until, timeout_at, Instant};
@@ -28,6 +32,7 @@
 use super::mail::Control;
 use super::metrics::COUNTERS;
 use super::shutdown::Phase;
+use super::tier::{Asked, Call};
 use crate::say;
 
 /// Connections served at once; the next waits in the listener's queue.
@@ -48,6 +53,8 @@
     pub store: Option<PathBuf>,
     /// Held by whoever changes the set: see [`cordons::follow`].
     pub order: Arc<Mutex<()>>,
+    /// Where limiters agree on versions of the rules.
+    pub tier: Option<mpsc::Sender<Asked>>,
 }
 
 /// Binds the operators' address. Errors: the address can't be bound; the start ends, naming the key.
@@ -103,6 +110,11 @@
         .route("/admin/uncordon", put(uncordon))
         .route("/admin/quiesce", put(quiesce))
         .route("/admin/resume", put(resume))
+        .route("/admin/rules", get(rules))
+        .route("/admin/rules/stage", put(stage))
+        .route("/admin/rules/commit", put(commit))
+        .route("/admin/rules/undo", put(undo))
+        .route("/admin/rules/adopt", put(adopt))
         .fallback(|| async { no(StatusCode::NOT_FOUND, "no such call") })
         .with_state(Arc::new(ops))
 }
@@ -195,6 +207,68 @@
     }
 }
 
+/// Asks the tier, where there is one.
+async fn ask(ops: &Ops, call: Call) -> Response {
+    let Some(tier) = &ops.tier else {
+        return no(StatusCode::NOT_FOUND, "no tier: the settings have no block tier");
+    };
+    let (reply, answer) = oneshot::channel();
+    if tier.try_send((call, reply)).is_err() {
+        return no(StatusCode::SERVICE_UNAVAILABLE, "the tier is busy; call again");
+    }
+    match answer.await {
+        Ok(Ok(value)) => yes(format!("{value}\n")),
+        Ok(Err((status, why))) => no(StatusCode::from_u16(status).unwrap_or(StatusCode::CONFLICT), &why),
+        Err(_) => no(StatusCode::SERVICE_UNAVAILABLE, "the tier has stopped"),
+    }
+}
+
+async fn rules(State(ops): State<Arc<Ops>>) -> Response {
+    ask(&ops, Call::Status).await
+}
+
+/// Checks the document that the body carries, and keeps it here for a commit.
+async fn stage(State(ops): State<Arc<Ops>>, body: Body) -> Response {
+    let Ok(body) = Limited::new(body, LONGEST_DOCUMENT).collect().await else {
+        return no(StatusCode::PAYLOAD_TOO_LARGE, &format!("at most {LONGEST_DOCUMENT} bytes, whole"));
+    };
+    match String::from_utf8(body.to_bytes().into()) {
+        Ok(text) => ask(&ops, Call::Stage { text }).await,
+        Err(_) => no(StatusCode::BAD_REQUEST, "the document is not UTF-8"),
+    }
+}
+
+/// Begins a change: `digest=HEX`, `scope=all` for one that every member must answer, `except=N` for each that need
+/// not.
+async fn commit(State(ops): State<Arc<Ops>>, uri: Uri) -> Response {
+    let (mut digest, mut everyone, mut except) = (None, false, BTreeSet::new());
+    for pair in uri.query().unwrap_or_default().split('&').filter(|p| !p.is_empty()) {
+        let understood = match pair.split_once('=') {
+            Some(("digest", d)) if !d.is_empty() => digest.replace(d.to_string()).is_none(),
+            Some(("scope", "all")) => !std::mem::replace(&mut everyone, true),
+            Some(("scope", "majority")) => true,
+            Some(("except", n)) => n.parse().is_ok_and(|n| except.insert(n)),
+            _ => false,
+        };
+        if !understood {
+            return no(
+                StatusCode::BAD_REQUEST,
+                &format!("{pair}: expected digest=, scope=majority|all, except=N"),
+            );
+        }
+    }
+    let Some(digest) = digest else { return no(StatusCode::BAD_REQUEST, "expected digest=HEX") };
+    ask(&ops, Call::Commit { digest, everyone, except }).await
+}
+
+async fn undo(State(ops): State<Arc<Ops>>) -> Response {
+    ask(&ops, Call::Undo).await
+}
+
+async fn adopt(State(ops): State<Arc<Ops>>) -> Response {
+    ask(&ops, Call::Adopt).await
+}
+
 /// Drains the limiter: `/ready` says no, and each client's connection closes after the answer it waits for.
 async fn quiesce(State(ops): State<Arc<Ops>>, headers: HeaderMap) -> Response {
     if !bodiless(&headers) {
@@ -232,8 +306,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use axum::body::Body;
-    use http_body_util::BodyExt;
     use tower_service::Service;
 
     fn ops() -> (Router, mpsc::Receiver<Control>, watch::Receiver<Phase>) {
@@ -244,6 +316,7 @@
             phase,
             control,
             store: None,
+            tier: None,
             order: Arc::default(),
         };
         (routes(ops), calls, seen)
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use sedgestack_accord::MARK;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -11,6 +12,14 @@
 use super::reuse;
 use crate::say;
 
+/// What is to be sent.
+pub enum Letter {
+    /// To all others.
+    All(Vec<u8>),
+    /// To one limiter, by its number.
+    To(u32, Vec<u8>),
+}
+
 /// The longest datagram that the platform allows.
 const LONGEST: usize = 256;
 
@@ -23,24 +32,33 @@
 }
 
 impl Peers {
-    /// Binds the socket; `addresses` are the limiters' in the order of their numbers, `own` among them.
+    /// Binds the socket; `addresses` are the limiters' in the order of their numbers, `own` among them. Where it is
+    /// not `shared`, no other process can bind it beside this one.
     pub async fn bind(
         listen: SocketAddr,
         addresses: Vec<SocketAddr>,
         all: Option<SocketAddr>,
         own: u32,
+        shared: bool,
     ) -> io::Result<Peers> {
-        Ok(Peers { socket: reuse::datagrams(listen)?, addresses, all, own })
+        let socket = if shared { reuse::datagrams(listen)? } else { UdpSocket::bind(listen).await? };
+        Ok(Peers { socket, addresses, all, own })
     }
 
-    /// Sends what the mailbox brings to all others, and tells the module what they send.
-    pub async fn run(self, mut mailbox: mpsc::Receiver<Vec<u8>>, module: mpsc::Sender<Mail>) {
+    /// Sends what the mailbox brings, and tells the module what the others send; what bears the agreement's mark
+    /// goes to the tier, where there is one.
+    pub async fn run(
+        self,
+        mut mailbox: mpsc::Receiver<Letter>,
+        module: mpsc::Sender<Mail>,
+        tier: Option<mpsc::Sender<Vec<u8>>>,
+    ) {
         // One byte more than allowed, to tell a longer datagram from a full one.
         let mut buffer = [0u8; LONGEST + 1];
         loop {
             tokio::select! {
                 bytes = mailbox.recv() => match bytes {
-                    Some(bytes) => self.tell(&bytes),
+                    Some(letter) => self.tell(&letter),
                     None => return,
                 },
                 read = self.socket.recv_from(&mut buffer) => {
@@ -49,21 +67,27 @@
                     let Some(from) = from.filter(|n| *n != self.own && length <= LONGEST) else { continue };
                     COUNTERS.peer_received.one();
                     // Late or not at all is what peers expect of a message: a full mailbox drops it.
+                    if let (Some(tier), true) = (&tier, buffer[..length].first() == Some(&MARK)) {
+                        let _ = tier.try_send(buffer[..length].to_vec());
+                        continue;
+                    }
                     let _ = module.try_send(Mail::Peer { from, bytes: buffer[..length].to_vec() });
                 }
             }
         }
     }
 
-    fn tell(&self, bytes: &[u8]) {
+    fn tell(&self, letter: &Letter) {
+        let (Letter::All(bytes) | Letter::To(_, bytes)) = letter;
         // Guards the run: a longer datagram voids it.
         if bytes.len() > LONGEST {
             return say!("peers: a message of {} bytes is not sent", bytes.len());
         }
         let others = self.addresses.iter().enumerate().filter(|(n, _)| *n as u32 != self.own);
-        let others: Vec<SocketAddr> = match self.all {
-            Some(all) => vec![all],
-            None => others.map(|(_, a)| *a).collect(),
+        let others: Vec<SocketAddr> = match (letter, self.all) {
+            (Letter::To(number, _), _) => self.addresses.get(*number as usize).copied().into_iter().collect(),
+            (Letter::All(_), Some(all)) => vec![all],
+            (Letter::All(_), None) => others.map(|(_, a)| *a).collect(),
         };
         for address in others {
             if self.socket.try_send_to(bytes, address).is_ok() {
@@ -85,11 +109,12 @@
         let own: SocketAddr = "127.0.0.1:1".parse().expect("an address");
         let addresses = vec![own, peer.local_addr().expect("it is bound")];
         let listen = "127.0.0.1:0".parse().expect("an address");
-        let peers = Peers::bind(listen, addresses, None, 0).await.expect("loopback has a port");
+        let peers = Peers::bind(listen, addresses, None, 0, true).await.expect("loopback has a port");
         let address = peers.socket.local_addr().expect("it is bound");
         let (messages, mailbox) = mpsc::channel(4);
         let (module, mut mail) = mpsc::channel(4);
-        tokio::spawn(peers.run(mailbox, module));
+        let (tier, mut agreed) = mpsc::channel(4);
+        tokio::spawn(peers.run(mailbox, module, Some(tier)));
 
         stranger.send_to(b"who", address).await.expect("sent");
         peer.send_to(&[1; LONGEST + 1], address).await.expect("sent");
@@ -98,8 +123,10 @@
             Some(Mail::Peer { from: 1, bytes }) => assert_eq!(bytes, [2; LONGEST]),
             _ => panic!("the message of 256 bytes comes first"),
         }
-        messages.send(vec![3; LONGEST + 1]).await.expect("the actor runs");
-        messages.send(vec![4; 2]).await.expect("the actor runs");
+        peer.send_to(&[MARK, 9], address).await.expect("sent");
+        assert_eq!(agreed.recv().await, Some(vec![MARK, 9]), "the tier's go to the tier");
+        messages.send(Letter::All(vec![3; LONGEST + 1])).await.expect("the actor runs");
+        messages.send(Letter::To(1, vec![4; 2])).await.expect("the actor runs");
         let mut buffer = [0; 2 * LONGEST];
         assert_eq!(peer.recv(&mut buffer).await.expect("received"), 2);
     }
--- a/src/net/settings.rs
+++ b/src/net/settings.rs
@@ -5,9 +5,10 @@
 use std::path::{Path, PathBuf};
 
 use sedgestack_capture::KeyedHash;
-use sedgestack_hcl::{Document, Fault, Section};
+use sedgestack_hcl::{Document, Fault, Micros, Section};
 
 use super::log::Format;
+use super::rules::Unknown;
 
 /// Records that wait for the writer at most, by default: at 100 bytes each, 0.2 MB.
 const QUEUE: u64 = 2_048;
@@ -19,6 +20,43 @@
 pub struct Settings {
     pub log: Format,
     pub capture: Option<Capture>,
+    pub tier: Option<Tier>,
+}
+
+/// How limiters agree on versions of the rules. Spans are in microseconds.
+#[derive(Clone)]
+pub struct Tier {
+    /// Where what was promised is kept; `{name}` stands for the limiter's name.
+    pub store: Option<String>,
+    pub round: Micros,
+    pub fanout: u16,
+    pub lease: Micros,
+    pub skew: Micros,
+    pub lead: Micros,
+    /// Datagrams taken in a second at most.
+    pub intake: u32,
+    /// What is done once the version in force was not known for longer than `wait`.
+    pub unknown: Unknown,
+    pub wait: Micros,
+    /// For tests alone: what this limiter's time of day is ahead of the machine's.
+    pub clock_offset: i64,
+}
+
+impl Tier {
+    /// The longest time for which two versions may be in force at once, beyond the time for which a limiter is cut
+    /// off: the clocks' difference, and where a limiter serves though it does not know the version, no bound.
+    pub fn mixing(&self) -> String {
+        let skew = self.skew / 1_000;
+        match self.unknown {
+            Unknown::Refuse => format!("two versions in force at once: {skew} ms at most (skew)"),
+            Unknown::Serve => format!(
+                "two versions in force at once: {skew} ms at most (skew) among limiters that know; one that is cut \
+                 off refuses from {} ms on for {} ms, and then serves under the last it knew",
+                self.lease / 1_000,
+                self.wait / 1_000
+            ),
+        }
+    }
 }
 
 /// Where a capture goes.
@@ -55,10 +93,38 @@
         log.done()?;
     }
     settings.capture = root.maybe("capture")?.map(|s| capture(&s)).transpose()?;
+    settings.tier = root.maybe("tier")?.map(|s| tier(&s)).transpose()?;
     root.done()?;
     Ok(settings)
 }
 
+fn tier(s: &Section<'_>) -> Result<Tier, Fault> {
+    let store = if s.has("store") { Some(s.text("store")?.to_string()) } else { None };
+    if store.as_ref().is_some_and(String::is_empty) {
+        return Err(s.fault_at("store", "expected a path, as \"/var/lib/sedgestack/{name}.redb\""));
+    }
+    let lease = s.span_or("lease", 3_000_000)?;
+    let rehearses = s.flag_or("rehearsal", false)?;
+    let clock_offset = s.number_or("clock_offset_ms", -60_000.0..=60_000.0, 0.0)?;
+    if clock_offset != 0.0 && !rehearses {
+        return Err(s.fault_at("clock_offset_ms", "expected only where rehearsal = true"));
+    }
+    let tier = Tier {
+        store,
+        round: s.span_or("round", 250_000)?,
+        fanout: s.whole_or("fanout", 1..=8, 2)? as u16,
+        lease,
+        skew: s.span_or("skew", 400_000)?,
+        lead: s.span_or("lead", 6_000_000)?,
+        intake: s.whole_or("intake", 8..=1_000, 40)? as u32,
+        unknown: [Unknown::Serve, Unknown::Refuse][s.word_or_first("unknown", &["serve", "refuse"])?],
+        wait: s.span_or("wait", lease)?,
+        clock_offset: (clock_offset * 1e3) as i64,
+    };
+    s.done()?;
+    Ok(tier)
+}
+
 fn capture(s: &Section<'_>) -> Result<Capture, Fault> {
     let file = s.text("file")?.to_string();
     if file.is_empty() {
@@ -104,6 +170,15 @@
         assert!(told.starts_with("ours.hcl:2:3: log.form: is not known here"), "{told}");
     }
 
+    #[test]
+    fn a_tier_has_its_defaults_and_shifts_no_clock_outside_a_rehearsal() {
+        let tier = parse("tier {\n  unknown = \"refuse\"\n}\n").expect("in order").tier.expect("it is on");
+        assert_eq!((tier.lease, tier.wait, tier.unknown), (3_000_000, 3_000_000, Unknown::Refuse));
+        assert_eq!(tier.mixing(), "two versions in force at once: 400 ms at most (skew)");
+        let told = parse("tier {\n  clock_offset_ms = 200\n}\n").err().expect("a fault");
+        assert_eq!(told, "ours.hcl:2:21: tier.clock_offset_ms: expected only where rehearsal = true");
+    }
+
     #[test]
     fn a_path_tells_limiters_and_starts_apart() {
         let text =
--- /dev/null
+++ b/src/net/tier.rs
@@ -0,0 +1,534 @@
+//! The actor of the agreement: it carries [`Node`] over the peers' datagrams, keeps its memory, answers operators'
+//! calls, and tells the module which version of the rules is in force and until when that is known.
+//!
+//! What must survive a restart is written before any datagram that rests on it leaves. All that decides anything is
+//! in `sedgestack-accord` and `sedgestack-rules`.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use sedgestack::{Class, Micros, Plan};
+use sedgestack_accord as accord;
+use sedgestack_accord::{Assured, Digest, Member, Node, Slot, Standing, Told, Unheard};
+use sedgestack_rules::{differences, Document};
+use sedgestack_store::Store;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{interval, MissedTickBehavior};
+
+use super::clock::Clock;
+use super::config::Config;
+use super::mail::{Control, NewRules, ToldRules};
+use super::metrics::COUNTERS;
+use super::peers::Letter;
+use super::settings;
+use crate::say;
+
+/// Looks at the agreement this often, and when a datagram or a call comes.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Versions told of by `GET /admin/rules`.
+const HISTORY: usize = 32;
+
+/// How an operator's call to change the rules is answered: with JSON, or a status and why not.
+pub type Answer = Result<Value, (u16, String)>;
+
+/// What operators ask of the tier.
+pub enum Call {
+    Status,
+    /// Checks a document and keeps it for a commit.
+    Stage {
+        text: String,
+    },
+    /// Begins the change to a staged document, by the start of its digest.
+    Commit {
+        digest: String,
+        everyone: bool,
+        except: BTreeSet<Member>,
+    },
+    /// Begins the change back to the document before the one in force.
+    Undo,
+    /// Goes on from what is left, where a majority has forgotten.
+    Adopt,
+}
+
+/// A call and where its answer goes.
+pub type Asked = (Call, oneshot::Sender<Answer>);
+
+/// One version that was decided.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Past {
+    version: Slot,
+    digest: String,
+    /// The change was voided: the document of the version before goes on.
+    void: bool,
+    /// Its moment, Unix microseconds; 0 for a void one.
+    at: Micros,
+    author: String,
+    reason: String,
+}
+
+/// What is kept across restarts.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    snapshot: Vec<u8>,
+    history: Vec<Past>,
+    /// Texts by digest that an undo may need.
+    before: Option<String>,
+}
+
+/// What the configuration says that documents may change.
+#[derive(Clone)]
+pub struct Base {
+    classes: Vec<Class>,
+    plans: Vec<Plan>,
+    longest: Micros,
+    max_retry_after: Micros,
+    document: Document,
+}
+
+impl Base {
+    /// The rules of a configuration, as version 0.
+    ///
+    /// # Errors
+    /// Where they can't be worded as a document: the text says which figure.
+    pub fn of(config: &Config) -> Result<Base, String> {
+        let settings = &config.settings;
+        let longest = config.limits.longest_deadline;
+        let named = settings.plans.iter().filter(|p| p.rate >= 0.001 && p.burst >= 1.0);
+        let plan = |p: &Plan| {
+            (p.name.clone(), sedgestack_rules::Plan { rate: p.rate, burst: p.burst, price: p.price })
+        };
+        let plans: BTreeMap<_, _> = named.map(plan).collect();
+        let class = |c: &Class| {
+            (c.name.clone(), sedgestack_rules::Class { aim: c.aim, deadline: longest.max(c.aim) })
+        };
+        let classes: BTreeMap<_, _> = settings.classes.iter().map(class).collect();
+        let text = Document::of(&plans, &classes, settings.max_retry_after);
+        let document = Document::parse("configuration", &text).map_err(|e| e.to_string())?;
+        Ok(Base {
+            classes: settings.classes.clone(),
+            plans: settings.plans.clone(),
+            longest,
+            max_retry_after: settings.max_retry_after,
+            document,
+        })
+    }
+
+    /// The classes and plans under a document, and what the module needs beside them.
+    fn under(&self, number: Slot, document: &Document) -> NewRules {
+        let mut classes = self.classes.clone();
+        let mut deadlines = vec![self.longest; classes.len()];
+        for (class, deadline) in classes.iter_mut().zip(&mut deadlines) {
+            if let Some(new) = document.classes.get(&class.name) {
+                (class.aim, *deadline) = (new.aim, new.deadline.min(self.longest));
+            }
+        }
+        let mut plans = self.plans.clone();
+        for plan in &mut plans {
+            if let Some(new) = document.plans.get(&plan.name) {
+                (plan.rate, plan.burst, plan.price) = (new.rate, new.burst, new.price);
+            }
+        }
+        let max_retry_after = document.max_retry_after.min(self.max_retry_after);
+        NewRules { number, digest: document.digest(), classes, plans, deadlines, max_retry_after }
+    }
+
+    /// What a document asks that can't be changed in service here.
+    fn unfit(&self, document: &Document) -> Option<String> {
+        let plan = document.plans.keys().find(|n| !self.plans.iter().any(|p| p.name == **n));
+        let class = document.classes.keys().find(|n| !self.classes.iter().any(|c| c.name == **n));
+        if let Some(name) = plan {
+            return Some(format!("plan \"{name}\": the limiters were not started with it"));
+        }
+        if let Some(name) = class {
+            return Some(format!("class \"{name}\": the limiters were not started with it"));
+        }
+        if document.counter.is_some() || document.discovery.is_some() {
+            return Some("addresses: these are moved by the configuration file and SIGHUP".into());
+        }
+        let longest = self.max_retry_after;
+        (document.max_retry_after > longest)
+            .then(|| format!("limits.max_retry_after: expected {longest} us at most, as configured"))
+    }
+}
+
+/// Opens the store that the settings name for the limiter `name`. A file that can't be used is set aside, logged
+/// and counted.
+///
+/// # Errors
+/// Where neither it nor a new one can be had.
+pub fn open(file: Option<&str>, name: &str) -> Result<(Option<Store>, Option<Vec<u8>>), String> {
+    let Some(file) = file else { return Ok((None, None)) };
+    let path = file.replace("{name}", name);
+    let opened = Store::open(path.as_ref()).map_err(|e| format!("tier: store: {e}"))?;
+    if let Some(aside) = opened.set_aside {
+        COUNTERS.tier_set_aside.one();
+        say!("tier: store: {path}: {}; set aside as {}, votes are forgotten", aside.why, aside.to.display());
+    }
+    Ok((Some(opened.store), opened.value))
+}
+
+/// What the actor is made of.
+pub struct Ties {
+    pub clock: Clock,
+    pub settings: settings::Tier,
+    pub members: u32,
+    pub number: u32,
+    pub base: Base,
+    pub store: Option<Store>,
+    pub kept: Option<Vec<u8>>,
+    pub seed: u64,
+    pub peers: mpsc::Sender<Letter>,
+    pub module: mpsc::Sender<Control>,
+}
+
+/// The actor.
+pub struct Tier {
+    node: Node,
+    ties: Ties,
+    staged: BTreeMap<Digest, Document>,
+    history: VecDeque<Past>,
+    /// The document in force before the one in force now.
+    before: Option<Document>,
+    serving: Document,
+    /// The snapshot that was kept last; whether more has changed since.
+    saved: Vec<u8>,
+    noted: bool,
+    told: Option<(Slot, Digest, Assured)>,
+    /// The change that was begun here last, and what became of it.
+    begun: Option<(Slot, Digest, &'static str, Vec<Member>)>,
+    second: Micros,
+    taken_in: u32,
+    busiest: u32,
+}
+
+impl Tier {
+    /// An actor that has just come up.
+    ///
+    /// # Errors
+    /// Where the settings can't be meant.
+    pub fn new(ties: Ties) -> Result<Tier, String> {
+        let kept: Option<Kept> = ties.kept.as_deref().and_then(|bytes| serde_json::from_slice(bytes).ok());
+        let snapshot = kept.as_ref().and_then(|k| accord::Snapshot::decode(&k.snapshot));
+        let s = &ties.settings;
+        let settings = accord::Settings {
+            member: ties.number as Member,
+            members: ties.members as Member,
+            round: s.round,
+            fanout: s.fanout,
+            lease: s.lease,
+            skew: s.skew,
+            lead: s.lead,
+            intake: s.intake,
+        };
+        let alone = ties.members == 1;
+        let node = Node::new(settings, ties.seed, snapshot, alone).map_err(|e| format!("tier: {e}"))?;
+        let before = kept.as_ref().and_then(|k| k.before.as_deref());
+        let before = before.and_then(|text| Document::parse("store", text).ok());
+        let history = kept.map(|k| k.history.into()).unwrap_or_default();
+        let serving = ties.base.document.clone();
+        let mut tier = Tier {
+            node,
+            ties,
+            staged: BTreeMap::new(),
+            history,
+            before,
+            serving,
+            saved: Vec::new(),
+            noted: false,
+            told: None,
+            begun: None,
+            second: 0,
+            taken_in: 0,
+            busiest: 0,
+        };
+        if let Some(document) = tier.document() {
+            tier.serving = document;
+        }
+        Ok(tier)
+    }
+
+    /// Runs until the module has ended.
+    pub async fn run(mut self, mut datagrams: mpsc::Receiver<Vec<u8>>, mut calls: mpsc::Receiver<Asked>) {
+        let mut looks = interval(LOOK_EVERY);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(bytes) = datagrams.recv() => self.hear(&bytes),
+                Some((call, reply)) = calls.recv() => {
+                    let answer = self.call(call);
+                    self.go_on();
+                    let _ = reply.send(answer);
+                }
+                _ = looks.tick() => {}
+                () = self.ties.module.closed() => return,
+            }
+            self.go_on();
+            self.tell().await;
+        }
+    }
+
+    fn now(&self) -> Micros {
+        self.ties.clock.now().saturating_add_signed(self.ties.settings.clock_offset)
+    }
+
+    /// The module's clock for a moment of the agreement's.
+    fn here(&self, at: Micros) -> Micros {
+        at.saturating_add_signed(-self.ties.settings.clock_offset)
+    }
+
+    /// Takes a datagram in, so many a second at most.
+    fn hear(&mut self, bytes: &[u8]) {
+        let now = self.now();
+        if now >= self.second + 1_000_000 {
+            (self.second, self.taken_in) = (now, 0);
+        }
+        if self.taken_in >= self.ties.settings.intake {
+            COUNTERS.tier_over.one();
+            return;
+        }
+        self.taken_in += 1;
+        self.busiest = self.busiest.max(self.taken_in);
+        COUNTERS.tier_taken_in.one();
+        match self.node.hear(now, bytes) {
+            Ok(()) => {}
+            Err(Unheard::Format(_)) => COUNTERS.tier_unknown_format.one(),
+            Err(_) => COUNTERS.tier_unheard.one(),
+        }
+    }
+
+    /// Goes on to now: keeps what must be kept, then sends.
+    fn go_on(&mut self) {
+        let now = self.now();
+        let out = self.node.tick(now);
+        for told in self.node.told() {
+            self.noted = true;
+            self.note(told);
+        }
+        if !self.keep() {
+            return;
+        }
+        for letter in out {
+            COUNTERS.tier_sent.one();
+            let _ = self.ties.peers.try_send(Letter::To(letter.to.into(), letter.bytes));
+        }
+    }
+
+    /// Writes what must survive a restart, if it has changed. Guards votes: where it can't be written nothing is
+    /// sent that rests on it.
+    fn keep(&mut self) -> bool {
+        let Some(store) = &self.ties.store else { return true };
+        let snapshot = self.node.snapshot().encode();
+        if snapshot == self.saved && !self.noted {
+            return true;
+        }
+        let kept = Kept {
+            snapshot: snapshot.clone(),
+            history: self.history.iter().cloned().collect(),
+            before: self.before.as_ref().map(|d| d.text.clone()),
+        };
+        let bytes = serde_json::to_vec(&kept).expect("it holds nothing that can't be encoded");
+        match store.save(&bytes) {
+            Ok(()) => {
+                COUNTERS.tier_saved.one();
+                (self.saved, self.noted) = (snapshot, false);
+                true
+            }
+            Err(e) => {
+                COUNTERS.tier_unsaved.one();
+                say!("tier: {e}; nothing is sent");
+                false
+            }
+        }
+    }
+
+    fn note(&mut self, told: Told) {
+        match told {
+            Told::Staged { digest } => say!("tier: document {digest} has come"),
+            Told::Decided { slot, value } => {
+                let digest = value.serves();
+                let text =
+                    digest.and_then(|d| self.node.document(&d)).map(|b| String::from_utf8_lossy(b).into());
+                let document = text.and_then(|t: String| Document::parse("a version", &t).ok());
+                let origin = document.map(|d| d.origin);
+                say!("tier: version {slot} is decided: {value:?}");
+                self.history.push_back(Past {
+                    version: slot,
+                    digest: digest.map_or("configuration".into(), |d| d.to_string()),
+                    void: value.at().is_none(),
+                    at: value.at().unwrap_or(0),
+                    author: origin.as_ref().map_or(String::new(), |o| o.author.clone()),
+                    reason: origin.map_or(String::new(), |o| o.reason),
+                });
+                while self.history.len() > HISTORY {
+                    self.history.pop_front();
+                }
+                if let Some((begun, own, outcome, _)) = &mut self.begun {
+                    if *begun == slot {
+                        *outcome = if value.at().is_some() && digest == Some(*own) { "made" } else { "void" };
+                    }
+                }
+            }
+            Told::InForce { slot, digest } => {
+                say!("tier: version {slot} is in force");
+                if digest.is_some_and(|d| d != self.serving.digest()) {
+                    if let Some(document) = self.document() {
+                        self.before = Some(std::mem::replace(&mut self.serving, document));
+                    }
+                }
+            }
+            Told::Lost { slot } => say!("tier: version {slot}, begun here, was not made"),
+            Told::Unanswered { slot, members } => {
+                say!("tier: version {slot} is given up, as {members:?} did not answer");
+                if let Some(begun) = self.begun.as_mut().filter(|b| b.0 == slot) {
+                    begun.3 = members;
+                }
+            }
+            Told::Standing(standing) => say!("tier: stands {standing:?}"),
+        }
+    }
+
+    /// The document in force, where one was ever decided.
+    fn document(&self) -> Option<Document> {
+        let (_, bytes) = self.node.in_force();
+        Document::parse("a version", std::str::from_utf8(bytes?).ok()?).ok()
+    }
+
+    /// Tells the module what holds, whenever it has changed; that it holds for a little longer is told every half
+    /// round.
+    async fn tell(&mut self) {
+        let (number, _) = self.node.in_force();
+        let assured = self.node.assured();
+        let word = (number, self.serving.digest(), assured);
+        let half_round = self.ties.settings.round / 2;
+        let same = self.told.as_ref().is_some_and(|(n, digest, before)| {
+            let longer = assured.until.checked_sub(before.until).is_some_and(|more| more < half_round);
+            (*n, *digest, before.next) == (word.0, word.1, assured.next) && longer
+        });
+        if same {
+            return;
+        }
+        let next = assured.next.and_then(|(from, slot, digest)| {
+            let text = std::str::from_utf8(self.node.document(&digest)?).ok()?;
+            let document = Document::parse("a version", text).ok()?;
+            Some((self.here(from), self.ties.base.under(slot, &document)))
+        });
+        let current = self.ties.base.under(number, &self.serving);
+        let until = self.here(assured.until);
+        let told = ToldRules { current, next, until: if assured.until == 0 { 0 } else { until } };
+        if self.ties.module.send(Control::Rules(Box::new(told))).await.is_ok() {
+            self.told = Some(word);
+        }
+    }
+
+    fn call(&mut self, call: Call) -> Answer {
+        match call {
+            Call::Status => Ok(self.status()),
+            Call::Stage { text } => self.stage(text),
+            Call::Commit { digest, everyone, except } => self.commit(&digest, everyone, &except),
+            Call::Undo => {
+                let Some(before) = self.before.clone() else {
+                    return Err((409, "there is no version before the one in force".into()));
+                };
+                self.begin(before, BTreeSet::new())
+            }
+            Call::Adopt => {
+                if !self.node.waits() {
+                    return Err((409, "this limiter knows its votes, or has heard a majority".into()));
+                }
+                self.node.adopt();
+                say!("tier: an operator says to go on from what is left");
+                Ok(self.status())
+            }
+        }
+    }
+
+    fn stage(&mut self, text: String) -> Answer {
+        if text.len() > accord::LONGEST_DOCUMENT {
+            return Err((413, format!("{} bytes; at most {} fit", text.len(), accord::LONGEST_DOCUMENT)));
+        }
+        let document = Document::parse("document", &text).map_err(|e| (400, e.to_string()))?;
+        if let Some(why) = self.ties.base.unfit(&document) {
+            return Err((400, why));
+        }
+        let (version, _) = self.node.in_force();
+        if document.origin.parent != version {
+            let parent = document.origin.parent;
+            return Err((
+                409,
+                format!("it was made for version {parent}, and version {version} is in force"),
+            ));
+        }
+        let faults = document.check("document", &self.serving);
+        if !faults.is_empty() {
+            let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            return Err((422, lines.join("\n")));
+        }
+        let changes = differences(&self.serving, &document);
+        let digest = document.digest();
+        self.staged.insert(digest, document);
+        Ok(json!({"digest": digest.to_string(), "parent": version, "changes": changes}))
+    }
+
+    fn commit(&mut self, digest: &str, everyone: bool, except: &BTreeSet<Member>) -> Answer {
+        let found: Vec<Digest> =
+            self.staged.keys().filter(|d| d.to_string().starts_with(digest)).copied().collect();
+        let [found] = found[..] else {
+            return Err((404, format!("{} staged documents begin with {digest}", found.len())));
+        };
+        let document = self.staged[&found].clone();
+        let own = self.ties.number as Member;
+        let all = 0..self.ties.members as Member;
+        let needs = all.filter(|m| everyone && *m != own && !except.contains(m)).collect();
+        // Meanwhile another version may have come into force.
+        let (version, _) = self.node.in_force();
+        if document.origin.parent != version {
+            let parent = document.origin.parent;
+            return Err((
+                409,
+                format!("it was made for version {parent}, and version {version} is in force"),
+            ));
+        }
+        self.begin(document, needs)
+    }
+
+    fn begin(&mut self, document: Document, needs: BTreeSet<Member>) -> Answer {
+        let (now, (parent, _)) = (self.now(), self.node.in_force());
+        let digest = document.digest();
+        let begun = self.node.propose_to(now, document.text.into_bytes(), parent, needs);
+        let version = begun.map_err(|e| (409, e.to_string()))?;
+        self.staged.retain(|d, _| *d != digest);
+        self.begun = Some((version, digest, "open", Vec::new()));
+        say!("tier: version {version} is begun here");
+        Ok(json!({"version": version, "digest": digest.to_string(), "at_us": now + self.ties.settings.lead}))
+    }
+
+    fn status(&self) -> Value {
+        let (version, _) = self.node.in_force();
+        let (decided, value) = self.node.decided();
+        let assured = self.node.assured();
+        let now = self.now();
+        let standing = match self.node.standing() {
+            Standing::Current => "current",
+            Standing::Behind => "behind",
+            Standing::Detached => "detached",
+        };
+        let next = assured.next.map(
+            |(from, slot, digest)| json!({"version": slot, "digest": digest.to_string(), "at_us": from}),
+        );
+        let begun = self.begun.as_ref().map(|(version, digest, outcome, missing)| {
+            json!({"version": version, "digest": digest.to_string(), "outcome": outcome, "unanswered": missing})
+        });
+        json!({
+            "member": self.ties.number, "members": self.ties.members, "standing": standing,
+            "version": version, "digest": self.serving.digest().to_string(), "decided": decided,
+            "decided_void": value.at().is_none() && decided > 0,
+            "known_for_ms": assured.until.saturating_sub(now) / 1_000,
+            "next": next, "begun_here": begun, "waits_for_adopt": self.node.waits(),
+            "staged": self.staged.keys().map(ToString::to_string).collect::<Vec<_>>(),
+            "history": self.history, "stored": self.ties.store.is_some(),
+            "busiest_second": self.busiest, "text": self.serving.text,
+        })
+    }
+}
--- /dev/null
+++ b/tests/fleet_rules.rs
@@ -0,0 +1,335 @@
+//! A change of rules takes hold at every limiter or at none: tiers of real processes with faults between them.
+//!
+//! Waits are for what must come, each verdict is from what was recorded, and what sets a fault off is an event: so
+//! the machine's speed decides nothing.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use sedgestack_fleet::Fleet;
+use sedgestack_rehearse::tier::{Cue, Kept, Options, Tier, Weather, QUICK};
+
+/// What the settings state: the clocks' difference, 100 ms.
+const BOUND_US: u64 = 100_000;
+
+fn tier_of(members: u32, options: impl FnOnce(&mut Options)) -> Tier {
+    let fleet =
+        Fleet::parse("fleet-sample.hcl", include_str!("../deploy/fleet-sample.hcl")).expect("in order");
+    let daemon = PathBuf::from(env!("CARGO_BIN_EXE_sedgestack"));
+    let mut asked =
+        Options { members, seed: 7, daemon, tier: QUICK.into(), stores: true, clocks_ms: Vec::new() };
+    options(&mut asked);
+    Tier::start(&fleet, asked).expect("loopback and the daemon are there")
+}
+
+/// A tier that stands, under load.
+fn tier(members: u32) -> Tier {
+    let tier = tier_of(members, |_| {});
+    tier.adopt();
+    tier.load();
+    tier
+}
+
+/// The next version at a limiter: the plan `faculdade` at another rate.
+fn next(tier: &Tier, member: u32, rate: f64) -> String {
+    tier.next(member, "faculdade", rate)
+}
+
+/// Begins a change at a limiter, again where it is out of touch for a moment.
+fn begin(tier: &Tier, member: u32, rate: f64, scope: &str) -> u64 {
+    let mut begun = 0;
+    tier.until("a change that is begun", || {
+        let answer = tier.change(member, &next(tier, member, rate), scope);
+        if let Err((status, why)) = &answer {
+            assert!([0, 409].contains(status), "{status}: {why}");
+        }
+        begun = answer.unwrap_or(0);
+        begun > 0
+    });
+    begun
+}
+
+fn until_version(tier: &Tier, members: &[u32], version: u64) {
+    tier.until(&format!("version {version} at {members:?}"), || {
+        members.iter().all(|m| tier.version(*m) >= Some(version))
+    });
+}
+
+/// All limiters that run stand under one document, and no answer was out of its version's time.
+fn in_order(tier: &Tier) {
+    tier.until("one version everywhere", || {
+        let first = tier.status(0).or_else(|| tier.status(1)).unwrap_or_default();
+        tier.all(|s| {
+            s["standing"] == "current" && s["digest"] == first["digest"] && s["version"] == first["version"]
+        })
+    });
+    tier.rest();
+    let found = tier.judge(BOUND_US);
+    assert!(found.broken.is_empty(), "{found:#?}");
+    assert!(found.answers > 0);
+}
+
+#[test]
+fn a_change_made_while_one_of_five_is_down_is_not_missed_by_it() {
+    let tier = tier(5);
+    tier.kill(4);
+    assert_eq!(begin(&tier, 0, 6.5, ""), 1);
+    until_version(&tier, &[0, 1, 2, 3], 1);
+    tier.restart(4, Kept::Whole).expect("it comes up");
+    until_version(&tier, &[4], 1);
+    tier.until("it serves", || tier.ask(4).is_some_and(|s| s.version == Some(1)));
+    in_order(&tier);
+}
+
+#[test]
+fn one_frozen_across_the_moment_serves_nothing_old_when_thawed() {
+    let tier = tier(5);
+    assert_eq!(begin(&tier, 0, 6.5, ""), 1);
+    tier.until("it knows the moment", || tier.status(2).is_some_and(|s| s["decided"] == 1));
+    tier.freeze(2);
+    until_version(&tier, &[0, 1, 3, 4], 1);
+    // Another one, that it hears nothing of.
+    assert_eq!(begin(&tier, 1, 6.0, ""), 2);
+    until_version(&tier, &[0, 1, 3, 4], 2);
+    tier.thaw(2);
+    until_version(&tier, &[2], 2);
+    in_order(&tier);
+}
+
+#[test]
+fn a_proposer_killed_at_any_step_leaves_one_outcome() {
+    let steps: [(&str, u32); 4] = [("prepare", 1), ("accept", 1), ("accept", 2), ("beat", 40)];
+    for (kind, nth) in steps {
+        let tier = tier(3);
+        let killed = tier.kill_at(Cue { from: 0, kind, nth }, 0);
+        let begun = tier.change(0, &next(&tier, 0, 6.5), "");
+        killed.until_done();
+        // Whatever became of it, the two that are left agree on it, and the next change is made.
+        let version = begin(&tier, 1, 6.0, "");
+        assert!(version > 0, "after {kind} {nth}: {begun:?}");
+        until_version(&tier, &[1, 2], version);
+        tier.restart(0, Kept::Whole).expect("it comes up");
+        until_version(&tier, &[0], version);
+        in_order(&tier);
+    }
+}
+
+#[test]
+fn one_killed_in_an_undo_leaves_the_undo_made_once() {
+    let tier = tier(3);
+    assert_eq!(begin(&tier, 0, 6.5, ""), 1);
+    until_version(&tier, &[0, 1, 2], 1);
+    let killed = tier.kill_at(Cue { from: 1, kind: "promise", nth: 1 }, 1);
+    tier.until("an undo that is begun", || tier.call(0, "PUT", "rules/undo", "").is_some_and(|a| a.0 == 200));
+    killed.until_done();
+    tier.until("the undo's end", || tier.status(0).is_some_and(|s| s["begun_here"]["outcome"] != "open"));
+    tier.restart(1, Kept::Whole).expect("it comes up");
+    until_version(&tier, &[0, 1, 2], 2);
+    in_order(&tier);
+    let history = tier.status(0).expect("it answers")["history"].clone();
+    let made = history.as_array().expect("a list").iter().filter(|p| p["void"] == false).count();
+    let undone = tier.status(2).expect("it answers");
+    assert!(made == 2 && undone["text"].as_str().expect("text").contains("rate  = 7.2"), "{history}");
+}
+
+#[test]
+fn one_that_restarts_empty_in_a_vote_twice_votes_for_nothing_twice() {
+    let tier = tier(3);
+    // The second time it votes on nothing yet: it dies as the others' votes are asked for.
+    for (from, kind) in [(1, "promise"), (0, "accept")] {
+        let killed = tier.kill_at(Cue { from, kind, nth: 1 }, 1);
+        let before = tier.status(0).expect("it answers")["decided"].as_u64().expect("a number");
+        let begun = begin(&tier, 0, if before == 0 { 6.5 } else { 6.0 }, "");
+        killed.until_done();
+        tier.restart(1, Kept::Gone).expect("it comes up");
+        until_version(&tier, &[0, 1, 2], begun);
+        tier.until("all are current", || tier.all(|s| s["standing"] == "current"));
+    }
+    in_order(&tier);
+}
+
+#[test]
+fn a_minority_that_holds_the_operator_changes_nothing() {
+    let tier = tier(5);
+    tier.links().split(&[&[0, 1], &[2, 3, 4]]);
+    // It may begin a change in the first moments; it can't be decided.
+    let _ = tier.change(0, &next(&tier, 0, 6.5), "");
+    tier.until("they know that they are cut off", || {
+        [0, 1].iter().all(|m| tier.status(*m).is_some_and(|s| s["standing"] == "detached"))
+    });
+    assert!(matches!(tier.change(1, &next(&tier, 1, 6.4), ""), Err((409, _))));
+    tier.until("a cut off one refuses", || {
+        tier.ask(0).is_some_and(|s| s.status == 429 && s.version.is_none())
+    });
+    let made = begin(&tier, 2, 6.0, "");
+    until_version(&tier, &[2, 3, 4], made);
+    tier.links().mend();
+    until_version(&tier, &[0, 1], made);
+    in_order(&tier);
+    let digest = |m: u32| tier.status(m).expect("it answers")["digest"].clone();
+    assert_eq!(digest(0), digest(3));
+}
+
+#[test]
+fn cut_in_three_no_part_decides_and_mended_all_do() {
+    let tier = tier(5);
+    tier.links().split(&[&[0, 1], &[2, 3], &[4]]);
+    tier.until("nobody is in touch", || tier.all(|s| s["standing"] == "detached"));
+    for member in [0, 2, 4] {
+        assert!(matches!(tier.change(member, &next(&tier, member, 6.5), ""), Err((409, _))));
+    }
+    tier.links().mend();
+    let made = begin(&tier, 4, 6.5, "");
+    until_version(&tier, &[0, 1, 2, 3, 4], made);
+    in_order(&tier);
+}
+
+#[test]
+fn a_ring_of_one_way_cuts_holds_up_nothing() {
+    let tier = tier(5);
+    (0..5).for_each(|m| tier.links().cut(m, (m + 1) % 5));
+    let made = begin(&tier, 0, 6.5, "");
+    until_version(&tier, &[0, 1, 2, 3, 4], made);
+    in_order(&tier);
+}
+
+#[test]
+fn of_two_operators_in_one_instant_one_is_told_that_he_lost() {
+    let tier = tier(3);
+    let (one, two) = (next(&tier, 0, 6.5), next(&tier, 2, 6.0));
+    let (a, b) = std::thread::scope(|s| {
+        let a = s.spawn(|| tier.change(0, &one, ""));
+        let b = s.spawn(|| tier.change(2, &two, ""));
+        (a.join().expect("it ends"), b.join().expect("it ends"))
+    });
+    assert!(a.is_ok() || b.is_ok(), "{a:?} {b:?}");
+    let outcome = |m: u32| tier.status(m).expect("it answers")["begun_here"]["outcome"].clone();
+    tier.until("both are told", || {
+        (a.is_err() || outcome(0) != "open") && (b.is_err() || outcome(2) != "open")
+    });
+    let made = [(&a, 0), (&b, 2)].iter().filter(|(begun, m)| begun.is_ok() && outcome(*m) == "made").count();
+    assert!(made <= 1, "{:?} {:?}", outcome(0), outcome(2));
+    in_order(&tier);
+}
+
+#[test]
+fn a_commit_whose_parent_is_no_longer_in_force_is_refused() {
+    let tier = tier(3);
+    let old = next(&tier, 1, 6.5);
+    let made = begin(&tier, 0, 6.0, "");
+    until_version(&tier, &[0, 1, 2], made);
+    match tier.change(1, &old, "") {
+        Err((409, why)) => {
+            assert!(why.starts_with("it was made for version 0, and version 1 is in force"), "{why}")
+        }
+        other => panic!("{other:?}"),
+    }
+    in_order(&tier);
+}
+
+#[test]
+fn a_change_for_all_is_given_up_where_one_is_silent_and_names_it() {
+    let tier = tier(3);
+    tier.kill(2);
+    begin(&tier, 0, 6.5, "&scope=all");
+    let told = || tier.status(0).expect("it answers")["begun_here"].clone();
+    tier.until("the end of the lead", || told()["outcome"] != "open");
+    assert_eq!((told()["outcome"].as_str(), told()["unanswered"][0].as_u64()), (Some("void"), Some(2)));
+    tier.until("it is over", || tier.all(|s| s["standing"] == "current"));
+    // Known to be gone, it is left out.
+    let made = begin(&tier, 0, 6.5, "&scope=all&except=2");
+    until_version(&tier, &[0, 1], made);
+    tier.until("made", || told()["outcome"] == "made");
+    tier.restart(2, Kept::Whole).expect("it comes up");
+    until_version(&tier, &[2], made);
+    in_order(&tier);
+}
+
+#[test]
+fn a_lossy_late_doubled_and_damaged_network_mixes_nothing() {
+    let tier = tier_of(5, |o| o.clocks_ms = vec![40, -40, 0, 30, -30]);
+    tier.adopt();
+    tier.load();
+    let late = Duration::from_millis(300);
+    tier.links().weather(Weather { loss: 0.3, double: 0.1, damage: 0.01, late });
+    for (member, rate) in [(0, 6.5), (3, 6.0), (4, 5.5)] {
+        // Loss makes a change void at times: its operator is told, and it is begun again.
+        let told = || tier.status(member).expect("it answers")["begun_here"]["outcome"].clone();
+        tier.until("a change that is made", || {
+            begin(&tier, member, rate, "");
+            tier.until("its outcome", || told() != "open");
+            told() == "made"
+        });
+        tier.until("in force", || tier.status(member).is_some_and(|s| s["version"] == s["decided"]));
+    }
+    tier.links().weather(Weather::default());
+    in_order(&tier);
+    let [came, _, _, lost] = tier.links().counts();
+    assert!(lost * 10 > came, "{lost} of {came} were lost");
+}
+
+#[test]
+fn a_tier_restarted_whole_comes_up_under_what_its_stores_held() {
+    let tier = tier(3);
+    let made = begin(&tier, 0, 6.5, "");
+    until_version(&tier, &[0, 1, 2], made);
+    tier.rest();
+    (0..3).for_each(|m| tier.term(m));
+    // A majority of the stores is left; the third is torn, and set aside.
+    for (member, kept) in [(0, Kept::Whole), (1, Kept::Whole), (2, Kept::Torn)] {
+        tier.restart(member, kept).expect("it comes up");
+    }
+    assert!(tier.log(2).iter().any(|l| l.contains("set aside as")), "{:?}", tier.log(2));
+    tier.load();
+    until_version(&tier, &[0, 1, 2], made);
+    in_order(&tier);
+    // Without any store it can't know, says so, and serves nothing until an operator has spoken.
+    (0..3).for_each(|m| tier.kill(m));
+    (0..3).for_each(|m| tier.restart(m, Kept::Gone).expect("it comes up"));
+    assert!(tier.all(|s| s["waits_for_adopt"] == true && s["standing"] == "detached"));
+    assert_eq!(tier.ask(1).map(|s| (s.status, s.version)), Some((429, None)));
+    tier.adopt();
+    tier.until("it serves", || tier.ask(1).is_some_and(|s| s.version == Some(0)));
+}
+
+#[test]
+fn a_reload_and_a_change_in_one_instant_disturb_neither() {
+    let tier = tier(3);
+    let document = next(&tier, 0, 6.5);
+    let made = std::thread::scope(|s| {
+        let change = s.spawn(|| tier.change(0, &document, ""));
+        (0..3).for_each(|m| tier.hang_up(m));
+        change.join().expect("it ends")
+    });
+    let version = made.unwrap_or_else(|_| begin(&tier, 0, 6.5, ""));
+    until_version(&tier, &[0, 1, 2], version);
+    (0..3).for_each(|m| assert!(tier.log(m).iter().any(|l| l.contains("reload:")), "n{m} read it again"));
+    in_order(&tier);
+}
+
+#[test]
+fn what_is_no_change_is_refused_with_its_place_and_changes_nothing() {
+    let tier = tier(3);
+    let good = next(&tier, 0, 6.5);
+    let cases = [
+        (good.replace("rate  = 6.5", "rate  = 0.72"), 422, "\"faculdade\".rate: changes to a tenth"),
+        (good.replace("rate  = 6.5", "rate  = 6.5\n  speed = 2"), 400, "speed"),
+        (good.replace("parent = 0", "parent = 7"), 409, "made for version 7, and version 0 is in force"),
+        (good.clone() + "\naddresses {\n  counter = \"127.0.0.1:1\"\n}\n", 400, "addresses"),
+        (good.clone() + "\nplan \"gold\" {\n  rate  = 1\n  burst = 5\n}\n", 400, "plan \"gold\""),
+        (good.clone() + &"# and more\n".repeat(6_000), 413, "at most"),
+        ("version {".into(), 400, "document:1"),
+    ];
+    for (document, status, why) in cases {
+        match tier.change(0, &document, "") {
+            Err((told, text)) if told == status => assert!(text.contains(why), "{text}"),
+            other => panic!("{why}: {other:?}"),
+        }
+    }
+    assert_eq!(tier.call(0, "PUT", "rules/commit?digest=abc", "").map(|a| a.0), Some(404));
+    assert_eq!(tier.call(0, "PUT", "rules/commit?scope=some", "").map(|a| a.0), Some(400));
+    assert_eq!(tier.call(0, "PUT", "rules/undo", "").map(|a| a.0), Some(409));
+    assert_eq!(tier.call(0, "PUT", "rules/adopt", "").map(|a| a.0), Some(409));
+    assert!(tier.all(|s| s["version"] == 0 && s["decided"] == 0));
+    in_order(&tier);
+}
