--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -1,9 +1,11 @@
 //! `sedgestack-kit`: captures, capacity plans and rehearsals from the command line.
 
 mod captures;
+mod faults;
 mod output;
 mod planning;
 mod rehearsing;
+mod tier;
 mod versions;
 
 use std::io;
@@ -24,6 +26,8 @@
   sedgestack-kit plan deploy/fleet-sample.hcl --capture n0.sedgecap --capture n1.sedgecap --html plan.html
   sedgestack-kit capture merge n0.sedgecap n1.sedgecap n2.sedgecap --out day.sedgecap
   sedgestack-kit rehearse deploy/fleet-sample.hcl --scenario room-lost --seed 7
+  sedgestack-kit config status --at 10.0.0.4:9901 10.0.0.5:9901
+  sedgestack-kit campaign deploy/fleet-sample.hcl --limiters 5 --seeds 20
   sedgestack-kit completions bash
 
 Exit status: 0 done; 1 the answer is no (no count meets the aims, a prediction was missed, a file is damaged);
@@ -42,7 +46,7 @@
     /// Shows, checks, merges and draws captures
     #[command(subcommand)]
     Capture(captures::Command),
-    /// Checks and compares versions of what may change in service
+    /// Versions of what may change in service: checked, compared, and made at a running tier
     #[command(subcommand)]
     Config(versions::Command),
     /// Says how many workers keep the aims, what breaks first and what losses cost
@@ -51,6 +55,8 @@
     Rehearse(rehearsing::Arguments),
     /// Holds predictions against rehearsals, scenario by scenario
     Prove(rehearsing::Proof),
+    /// Plays drawn timelines of faults on tiers of real limiters, and judges what was recorded
+    Campaign(faults::Campaign),
     /// Prints completions for a shell
     Completions {
         /// The shell
@@ -74,6 +80,7 @@
         Command::Plan(arguments) => planning::run(&arguments, cli.format),
         Command::Rehearse(arguments) => rehearsing::run(&arguments, cli.format),
         Command::Prove(arguments) => rehearsing::prove(&arguments, cli.format),
+        Command::Campaign(arguments) => faults::campaign(&arguments, cli.format),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "sedgestack-kit", &mut io::stdout());
             Ok(Verdict::Done)
--- a/crates/kit/src/versions.rs
+++ b/crates/kit/src/versions.rs
@@ -10,7 +10,7 @@
 use sedgestack_rules::{differences, Document};
 
 use crate::output::{bar, Format, Verdict};
-use crate::{captures, fleet, Fault};
+use crate::{captures, fleet, tier, Fault};
 
 /// Runs behind the impact of a change.
 const SEEDS: u32 = 6;
@@ -19,7 +19,13 @@
 #[command(after_help = "Examples:
   sedgestack-kit config check next.hcl --before current.hcl
   sedgestack-kit config check next.hcl --before current.hcl --fleet fleet.hcl --capture day.sedgecap
-  sedgestack-kit config diff current.hcl next.hcl")]
+  sedgestack-kit config diff current.hcl next.hcl
+  sedgestack-kit config status --at 10.0.0.4:9901 10.0.0.5:9901 10.0.0.6:9901
+  sedgestack-kit config commit next.hcl --at 10.0.0.4:9901 10.0.0.5:9901 --scope all --except n7
+  sedgestack-kit config undo --at 10.0.0.4:9901
+
+Exit status of status: 0 all named limiters stand current under one version, 1 they don't. Of commit and undo:
+0 made and in force, 1 not made.")]
 pub enum Command {
     /// Holds a version against the one before it; 1 where a rule refuses it
     Check(Check),
@@ -30,6 +36,23 @@
         /// The next version
         next: PathBuf,
     },
+    /// Says what each limiter of a running tier serves under, and what is pending
+    Status(tier::At),
+    /// Checks a document at a running limiter against the version in force there
+    Stage {
+        /// The document
+        file: PathBuf,
+        #[command(flatten)]
+        at: tier::At,
+    },
+    /// Makes a document the next version, everywhere or nowhere
+    Commit(tier::Commit),
+    /// Goes back to the document before the one in force, as a next version
+    Undo(tier::At),
+    /// Lists the versions that were decided
+    History(tier::At),
+    /// Lets limiters that have all forgotten go on: a new tier, or one whose stores are lost
+    Adopt(tier::At),
 }
 
 #[derive(Args)]
@@ -55,6 +78,12 @@
 pub fn run(command: &Command, format: Format) -> Result<Verdict, Fault> {
     match command {
         Command::Check(arguments) => check(arguments, format),
+        Command::Status(at) => tier::status(at, format),
+        Command::Stage { file, at } => tier::stage(file, at, format),
+        Command::Commit(arguments) => tier::commit(arguments, format),
+        Command::Undo(at) => tier::undo(at, format),
+        Command::History(at) => tier::history(at, format),
+        Command::Adopt(at) => tier::adopt(at, format),
         Command::Diff { before, next } => {
             let (before, next) = (read(before)?, read(next)?);
             let changes = differences(&before, &next);
--- a/crates/rehearse/src/tier/relay.rs
+++ b/crates/rehearse/src/tier/relay.rs
@@ -187,6 +187,11 @@
         seen
     }
 
+    /// Nothing that was arranged is done any more.
+    pub fn call_off(&self) {
+        self.state().arranged.clear();
+    }
+
     /// Datagrams that came, went on, were lost to a cut, and to the weather.
     pub fn counts(&self) -> [u64; 4] {
         self.state().counts
--- /dev/null
+++ b/crates/rehearse/src/tier/timeline.rs
@@ -0,0 +1,399 @@
+//! Timelines of faults: written down in HCL or drawn from a seed, played on a tier, and cut down where they fail.
+
+use std::fmt;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use sedgestack_fleet::Fleet;
+use sedgestack_hcl::{Document, Fault, Section};
+use serde::Serialize;
+
+use super::judge::Found;
+use super::{Cue, Kept, Options, Tier, Weather, QUICK};
+use crate::Failure;
+
+/// What the settings of played tiers state as their clocks' difference, microseconds.
+const BOUND_US: u64 = 100_000;
+/// Kinds of datagrams at which something can be set off.
+const KINDS: [&str; 6] = ["beat", "prepare", "promise", "accept", "accepted", "want"];
+
+/// One step of a timeline; each begins when the one before is done.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Step {
+    /// A change of a plan's rate is begun at a limiter.
+    Change {
+        at: u32,
+        rate: f64,
+    },
+    Undo {
+        at: u32,
+    },
+    Kill {
+        limiter: u32,
+    },
+    /// A limiter dies as `from` sends its `nth` datagram of a kind from now on.
+    KillAt {
+        limiter: u32,
+        from: u32,
+        kind: String,
+        nth: u32,
+    },
+    /// A limiter that is gone comes back, `store` being `whole`, `gone` or `torn`.
+    Restart {
+        limiter: u32,
+        store: String,
+    },
+    Freeze {
+        limiter: u32,
+    },
+    Thaw {
+        limiter: u32,
+    },
+    /// Nothing goes from one to another; the way back stands.
+    Cut {
+        from: u32,
+        to: u32,
+    },
+    /// The limiters below `below` and the others do not hear each other.
+    Split {
+        below: u32,
+    },
+    Mend,
+    Weather {
+        loss: f64,
+        double: f64,
+        damage: f64,
+        late_ms: u64,
+    },
+    /// Time goes by.
+    Pause {
+        ms: u64,
+    },
+}
+
+impl fmt::Display for Step {
+    /// As HCL.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Step::Change { at, rate } => write!(f, "step \"change\" {{\n  at   = {at}\n  rate = {rate}\n}}"),
+            Step::Undo { at } => write!(f, "step \"undo\" {{\n  at = {at}\n}}"),
+            Step::Kill { limiter } => write!(f, "step \"kill\" {{\n  limiter = {limiter}\n}}"),
+            Step::KillAt { limiter, from, kind, nth } => write!(
+                f,
+                "step \"kill\" {{\n  limiter = {limiter}\n  from    = {from}\n  kind    = \"{kind}\"\n  nth     = {nth}\n}}"
+            ),
+            Step::Restart { limiter, store } => {
+                write!(f, "step \"restart\" {{\n  limiter = {limiter}\n  store   = \"{store}\"\n}}")
+            }
+            Step::Freeze { limiter } => write!(f, "step \"freeze\" {{\n  limiter = {limiter}\n}}"),
+            Step::Thaw { limiter } => write!(f, "step \"thaw\" {{\n  limiter = {limiter}\n}}"),
+            Step::Cut { from, to } => write!(f, "step \"cut\" {{\n  from = {from}\n  to   = {to}\n}}"),
+            Step::Split { below } => write!(f, "step \"split\" {{\n  below = {below}\n}}"),
+            Step::Mend => write!(f, "step \"mend\" {{}}"),
+            Step::Weather { loss, double, damage, late_ms } => write!(
+                f,
+                "step \"weather\" {{\n  loss   = {loss}\n  double = {double}\n  damage = {damage}\n  late   = \"{late_ms}ms\"\n}}"
+            ),
+            Step::Pause { ms } => write!(f, "step \"pause\" {{\n  for = \"{ms}ms\"\n}}"),
+        }
+    }
+}
+
+/// Reads a timeline for a tier of so many limiters.
+///
+/// # Errors
+/// Names file, line, column and key at fault, and what was expected there.
+pub fn read(path: &std::path::Path, limiters: u32) -> Result<Vec<Step>, Fault> {
+    let document = Document::read(path)?;
+    let root = document.root();
+    let steps = root.all("step").iter().map(|s| step(s, limiters)).collect();
+    root.done()?;
+    steps
+}
+
+fn step(s: &Section<'_>, limiters: u32) -> Result<Step, Fault> {
+    let one = |key: &str| s.whole(key, 0..=u64::from(limiters) - 1).map(|n| n as u32);
+    let share = |key: &str| s.number_or(key, 0.0..=1.0, 0.0);
+    let step = match s.label()? {
+        "change" => Step::Change { at: one("at")?, rate: s.number("rate", 3.6..=14.4)? },
+        "undo" => Step::Undo { at: one("at")? },
+        "kill" if s.has("from") => Step::KillAt {
+            limiter: one("limiter")?,
+            from: one("from")?,
+            kind: KINDS[s.word("kind", &KINDS)?].to_string(),
+            nth: s.whole_or("nth", 1..=10_000, 1)? as u32,
+        },
+        "kill" => Step::Kill { limiter: one("limiter")? },
+        "restart" => {
+            let stores = ["whole", "gone", "torn"];
+            Step::Restart { limiter: one("limiter")?, store: stores[s.word_or_first("store", &stores)?].into() }
+        }
+        "freeze" => Step::Freeze { limiter: one("limiter")? },
+        "thaw" => Step::Thaw { limiter: one("limiter")? },
+        "cut" => Step::Cut { from: one("from")?, to: one("to")? },
+        "split" => Step::Split { below: s.whole("below", 1..=u64::from(limiters) - 1)? as u32 },
+        "mend" => Step::Mend,
+        "weather" => Step::Weather {
+            loss: share("loss")?,
+            double: share("double")?,
+            damage: share("damage")?,
+            late_ms: s.span_or("late", 0)? / 1_000,
+        },
+        "pause" => Step::Pause { ms: s.span("for")? / 1_000 },
+        _ => {
+            return Err(s.fault(
+                "expected step \"change\", \"undo\", \"kill\", \"restart\", \"freeze\", \"thaw\", \"cut\", \"split\", \
+                 \"mend\", \"weather\" or \"pause\"",
+            ))
+        }
+    };
+    s.done()?;
+    Ok(step)
+}
+
+/// Draws a timeline: the same seed gives the same one. One limiter's store at the most is lost, as a majority that
+/// has forgotten waits for its operator.
+pub fn draw(seed: u64, limiters: u32) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (mut steps, mut down, mut frozen, mut lost) = (Vec::new(), Vec::new(), Vec::new(), false);
+    let count = rng.random_range(6..14);
+    for n in 0..count {
+        let limiter = rng.random_range(0..limiters);
+        let step = match rng.random_range(0..16) {
+            _ if n == 0 => Step::Change { at: limiter, rate: rate(&mut rng) },
+            0..=3 => Step::Change { at: limiter, rate: rate(&mut rng) },
+            4 => Step::Undo { at: limiter },
+            5 if !down.contains(&limiter) => {
+                down.push(limiter);
+                Step::Kill { limiter }
+            }
+            6 | 7 if !down.contains(&limiter) => {
+                down.push(limiter);
+                let from = rng.random_range(0..limiters);
+                let kind = KINDS[rng.random_range(0..KINDS.len())].to_string();
+                Step::KillAt { limiter, from, kind, nth: rng.random_range(1..4) }
+            }
+            8 | 9 if !down.is_empty() => {
+                let limiter = down.swap_remove(rng.random_range(0..down.len()));
+                let store = match rng.random_range(0..4) {
+                    0 if !lost => "gone",
+                    1 if !lost => "torn",
+                    _ => "whole",
+                };
+                lost |= store != "whole";
+                Step::Restart { limiter, store: store.into() }
+            }
+            10 if frozen.is_empty() => {
+                frozen.push(limiter);
+                Step::Freeze { limiter }
+            }
+            11 if !frozen.is_empty() => Step::Thaw { limiter: frozen.remove(0) },
+            12 => Step::Split { below: rng.random_range(1..limiters) },
+            13 => Step::Cut { from: limiter, to: (limiter + 1) % limiters },
+            14 => Step::Mend,
+            15 => Step::Weather {
+                loss: rng.random_range(0..30) as f64 / 100.0,
+                double: 0.1,
+                damage: 0.01,
+                late_ms: rng.random_range(0..400),
+            },
+            _ => Step::Pause { ms: rng.random_range(100..1_500) },
+        };
+        steps.push(step);
+    }
+    steps
+}
+
+fn rate(rng: &mut StdRng) -> f64 {
+    f64::from(rng.random_range(40..140)) / 10.0
+}
+
+/// How a timeline went.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    pub found: Found,
+    /// Changes and undos that were begun, refused at once, and of those begun the made ones, by all histories.
+    pub begun: u32,
+    pub refused: u32,
+    pub made: u32,
+    /// Operators whose limiter lived on and who were not told what became of their change.
+    pub untold: Vec<u32>,
+    /// What each limiter told last, where the tier did not come to stand under one version in a minute after the last
+    /// fault was taken back.
+    pub stuck: Vec<String>,
+}
+
+impl Played {
+    /// Whether everything held.
+    pub fn holds(&self) -> bool {
+        self.found.broken.is_empty() && self.untold.is_empty() && self.stuck.is_empty()
+    }
+}
+
+/// What is played.
+pub struct Play<'a> {
+    pub fleet: &'a Fleet,
+    pub daemon: PathBuf,
+    pub limiters: u32,
+    pub seed: u64,
+}
+
+impl Play<'_> {
+    /// Plays a timeline under load; then all faults are taken back, and the record is judged.
+    ///
+    /// # Errors
+    /// Where a socket, a file or a daemon can't be had.
+    pub fn run(&self, steps: &[Step]) -> Result<Played, Failure> {
+        let options = Options {
+            members: self.limiters,
+            seed: self.seed,
+            daemon: self.daemon.clone(),
+            tier: QUICK.into(),
+            stores: true,
+            clocks_ms: Vec::new(),
+        };
+        let tier = Tier::start(self.fleet, options)?;
+        tier.adopt();
+        tier.load();
+        let plan = self.fleet.plans[0].name.clone();
+        let half = self.fleet.plans[0].rate / 7.2;
+        let (mut begun, mut refused, mut asked, mut waits) = (0, 0, Vec::new(), Vec::new());
+        for step in steps {
+            match step {
+                Step::Change { at, rate } => {
+                    match tier.change(*at, &tier.next(*at, &plan, rate * half), "") {
+                        Ok(_) => {
+                            begun += 1;
+                            asked.push(*at);
+                        }
+                        Err(_) => refused += 1,
+                    }
+                }
+                Step::Undo { at } => match tier.call(*at, "PUT", "rules/undo", "") {
+                    Some((200, _)) => {
+                        begun += 1;
+                        asked.push(*at);
+                    }
+                    _ => refused += 1,
+                },
+                Step::Kill { limiter } => tier.kill(*limiter),
+                Step::KillAt { limiter, from, kind, nth } => {
+                    let kind = KINDS.iter().find(|k| *k == kind).copied().unwrap_or("beat");
+                    waits.push((*limiter, tier.kill_at(Cue { from: *from, kind, nth: *nth }, *limiter)));
+                }
+                Step::Restart { limiter, store } => {
+                    // One whose cue has not come yet lives: it is killed now.
+                    tier.kill(*limiter);
+                    tier.restart(
+                        *limiter,
+                        match store.as_str() {
+                            "gone" => Kept::Gone,
+                            "torn" => Kept::Torn,
+                            _ => Kept::Whole,
+                        },
+                    )?;
+                }
+                Step::Freeze { limiter } => tier.freeze(*limiter),
+                Step::Thaw { limiter } => tier.thaw(*limiter),
+                Step::Cut { from, to } => tier.links().cut(*from, *to),
+                Step::Split { below } => {
+                    let (one, other): (Vec<u32>, Vec<u32>) = (0..self.limiters).partition(|m| m < below);
+                    tier.links().split(&[&one, &other]);
+                }
+                Step::Mend => tier.links().mend(),
+                Step::Weather { loss, double, damage, late_ms } => tier.links().weather(Weather {
+                    loss: *loss,
+                    double: *double,
+                    damage: *damage,
+                    late: Duration::from_millis(*late_ms),
+                }),
+                Step::Pause { ms } => std::thread::sleep(Duration::from_millis(*ms)),
+            }
+        }
+        drop(waits);
+        tier.links().mend();
+        tier.links().weather(Weather::default());
+        tier.call_off();
+        for limiter in 0..self.limiters {
+            tier.thaw(limiter);
+            if tier.is_gone(limiter) {
+                tier.restart(limiter, Kept::Whole)?;
+            }
+        }
+        let stands = tier.comes(|| {
+            let first = tier.status(0).unwrap_or_default();
+            tier.all(|s| {
+                s["standing"] == "current"
+                    && s["version"] == s["decided"]
+                    && (&s["version"], &s["digest"]) == (&first["version"], &first["digest"])
+                    && s["begun_here"]["outcome"] != "open"
+            })
+        });
+        tier.rest();
+        let found = tier.judge(BOUND_US);
+        let open = |m: &u32| tier.status(*m).is_some_and(|s| s["begun_here"]["outcome"] == "open");
+        asked.sort_unstable();
+        asked.dedup();
+        let untold = asked.into_iter().filter(|m| stands && open(m)).collect();
+        let history = tier.status(0).map(|s| s["history"].clone()).unwrap_or_default();
+        let made = history.as_array().into_iter().flatten().filter(|p| p["void"] == false).count() as u32;
+        let stuck = if stands { Vec::new() } else { tier.last_words() };
+        Ok(Played { found, begun, refused, made, untold, stuck })
+    }
+
+    /// The fewest steps of a failing timeline that still fail, dropping one at a time.
+    ///
+    /// # Errors
+    /// As [`Play::run`].
+    pub fn cut_down(&self, mut steps: Vec<Step>) -> Result<Vec<Step>, Failure> {
+        let mut n = 0;
+        while n < steps.len() {
+            let mut fewer = steps.clone();
+            fewer.remove(n);
+            if self.run(&fewer)?.holds() {
+                n += 1;
+            } else {
+                steps = fewer;
+            }
+        }
+        Ok(steps)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_timeline_is_drawn_alike_and_reads_back_as_it_is_written() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("drawn.hcl");
+        for seed in 0..200 {
+            let steps = draw(seed, 5);
+            assert_eq!(steps, draw(seed, 5));
+            let text: Vec<String> = steps.iter().map(ToString::to_string).collect();
+            std::fs::write(&path, text.join("\n")).expect("written");
+            assert_eq!(read(&path, 5).expect("in order"), steps, "seed {seed}");
+        }
+    }
+
+    #[test]
+    fn what_is_no_step_is_told_with_its_place() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("bad.hcl");
+        for (text, why) in [
+            (
+                "step \"kill\" {\n  limiter = 5\n}\n",
+                "bad.hcl:2:13: step \"kill\".limiter: expected a whole number from 0 to 4, found 5",
+            ),
+            ("step \"burn\" {}\n", "expected step \"change\""),
+            ("step \"mend\" {\n  all = true\n}\n", "bad.hcl:2:3: step \"mend\".all: is not known here"),
+        ] {
+            std::fs::write(&path, text).expect("written");
+            let told = read(&path, 5).expect_err("a fault").to_string();
+            assert!(told.contains(why), "{told}");
+        }
+    }
+}
