Refuse a change at a limiter that may not vote on it, and test what a killed one has accepted

The limiter had lost its store, heard a majority and so votes two versions up at the earliest; it answered yes to a change of the next version, and dropped its own ballot at once. Excluded: the weather and the cuts, none stood; the status call, which told "open" for a minute. Now it refuses and says why.

Tests: that case in virtual time; one process killed as it accepts knows it when it is back, while what was decided rests on its word alone; 20 requests wait at a frozen limiter as it goes on. Tiers of one campaign no longer share loopback addresses after the twentieth: that made a later one meet an earlier one that was still stuck.

--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -138,6 +138,8 @@
     TooLong(usize),
     #[error("there is no member {0}")]
     NoMember(Member),
+    #[error("this limiter has forgotten its votes and can't begin version {0} yet: begin it at another one")]
+    Forgetful(Slot),
 }
 
 /// For how long a member knows the version in force without another word.
@@ -378,6 +380,10 @@
         if self.furthest() >= slot || self.in_force < self.decided || self.proposer.is_some() {
             return Err(Refusal::UnderWay(slot));
         }
+        // One that may not vote on it would begin nothing, and its operator would never be told.
+        if !self.votes_on(slot) {
+            return Err(Refusal::Forgetful(slot));
+        }
         if let Some(none) = needs.iter().find(|m| **m >= self.settings.members) {
             return Err(Refusal::NoMember(*none));
         }
--- a/crates/accord/tests/simulated.rs
+++ b/crates/accord/tests/simulated.rs
@@ -162,6 +162,21 @@
     assert_eq!(tier.serves(2), Some(Digest::of(b"two of three are enough")));
 }
 
+#[test]
+fn one_that_has_forgotten_begins_nothing_that_it_may_not_vote_on() {
+    let mut tier = Tier::new(3, 0.0, 5);
+    tier.run(3_000);
+    tier.kill(2);
+    tier.restart(2, None);
+    tier.run(3_000);
+    assert_eq!(tier.propose(2, b"of one that forgot"), Err(Refusal::Forgetful(1)));
+    assert_eq!(tier.propose(0, b"of one that knows"), Ok(1));
+    tier.run(8_000);
+    assert_eq!(tier.versions(), [1, 1, 1]);
+    // Two versions above all that the others had accepted it votes again.
+    assert_eq!(tier.propose(2, b"of one that forgot"), Ok(2));
+}
+
 #[test]
 fn an_undo_is_a_change_like_any_other() {
     let mut tier = Tier::new(3, 0.08, 6);
--- a/crates/kit/src/faults.rs
+++ b/crates/kit/src/faults.rs
@@ -39,6 +39,9 @@
     /// Tiers that run side by side
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=16))]
     jobs: u64,
+    /// Does not cut failing timelines down, which takes as many plays as they have steps
+    #[arg(long)]
+    whole: bool,
     /// The daemon; the `sedgestack` beside this program, or in target/release, without
     #[arg(long, value_name = "FILE")]
     daemon: Option<PathBuf>,
@@ -104,6 +107,10 @@
                 }
                 let seed = arguments.first + n;
                 let played = one(&described, &daemon, arguments.limiters, seed);
+                if let Some(bad) = played.as_ref().ok().filter(|p| !p.holds()) {
+                    eprintln!("seed {seed}: {}", told(bad));
+                    bad.stuck.iter().for_each(|words| eprintln!("{words}"));
+                }
                 let mut results = results.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
                 results.push((seed, played));
                 move_to(&bar, results.len() as f64 / arguments.seeds as f64);
@@ -132,7 +139,10 @@
     for (seed, _) in &failed {
         let play =
             Play { fleet: &described, daemon: daemon.clone(), limiters: arguments.limiters, seed: *seed };
-        let steps = play.cut_down(draw(*seed, arguments.limiters)).map_err(|e| e.to_string())?;
+        let mut steps = draw(*seed, arguments.limiters);
+        if !arguments.whole {
+            steps = play.cut_down(steps).map_err(|e| e.to_string())?;
+        }
         shortest.push(steps.iter().map(Step::to_string).collect::<Vec<_>>().join("\n"));
     }
     if format == Format::Json {
--- a/crates/rehearse/src/tier/mod.rs
+++ b/crates/rehearse/src/tier/mod.rs
@@ -107,7 +107,7 @@
 /// An address that no other run on this machine uses at the same time: in the loopback range, by process and tier.
 fn address(tier: u32, member: u32, port: u16) -> SocketAddr {
     let process = std::process::id();
-    let host = [127, 64 + (process >> 8 & 63) as u8, process as u8, (1 + tier * 12 + member) as u8];
+    let host = [127, 64 + (process & 63) as u8, tier as u8, (1 + (process >> 6 & 15) * 15 + member) as u8];
     (host, port).into()
 }
 
@@ -139,7 +139,7 @@
     /// Where a socket, a file or a daemon can't be had.
     pub fn start(fleet: &Fleet, options: Options) -> Result<Tier, Failure> {
         static NEXT: AtomicU32 = AtomicU32::new(0);
-        let tier = NEXT.fetch_add(1, Relaxed) % 20;
+        let tier = NEXT.fetch_add(1, Relaxed) % 256;
         let mut fleet = fleet.clone();
         fleet.rooms.iter_mut().for_each(|r| r.limiters = 0);
         fleet.rooms[0].limiters = options.members;
@@ -370,6 +370,16 @@
         ask(&self.fleet, member, self.sites[member as usize].listen, &self.seen)
     }
 
+    /// Sends a request to a limiter, which may be frozen, without waiting for its answer.
+    pub fn send(&self, member: u32) -> Option<Pending> {
+        begin(&self.fleet, member, self.sites[member as usize].listen)
+    }
+
+    /// Waits for the answer to a request that was sent, and keeps it in the record.
+    pub fn receive(&self, pending: Pending) -> Asked {
+        pending.record(&self.seen)
+    }
+
     /// Asks every limiter without a pause, on threads of their own, until [`Tier::rest`].
     pub fn load(&self) {
         let stop = Arc::new(AtomicBool::new(false));
@@ -551,9 +561,19 @@
 
 /// One exchange on a connection of its own: status, head and body.
 fn exchange(address: SocketAddr, request: &str) -> Option<(u16, String, String)> {
+    answer(sent(address, request)?)
+}
+
+/// A request that was written on a connection of its own.
+fn sent(address: SocketAddr, request: &str) -> Option<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
+    Some(stream)
+}
+
+/// The answer on a connection: status, head and body.
+fn answer(stream: TcpStream) -> Option<(u16, String, String)> {
     let mut reader = BufReader::new(stream);
     let (mut head, mut length) = (String::new(), 0);
     loop {
@@ -576,7 +596,28 @@
     Some((status, head, String::from_utf8(body).ok()?))
 }
 
+/// A request that was sent and not answered yet.
+pub struct Pending {
+    member: u32,
+    sent: judge::Micros,
+    stream: TcpStream,
+}
+
 fn ask(fleet: &Fleet, member: u32, address: SocketAddr, seen: &Mutex<Vec<Seen>>) -> Asked {
+    begin(fleet, member, address)?.record(seen)
+}
+
+impl Pending {
+    fn record(self, seen: &Mutex<Vec<Seen>>) -> Asked {
+        let (status, head, _) = answer(self.stream)?;
+        let version = head.lines().find_map(|l| l.strip_prefix("x-rules:")?.trim().parse().ok());
+        let one = Seen { limiter: self.member, sent: self.sent, answered: unix_now(), status, version };
+        locked(seen).push(one.clone());
+        Some(one)
+    }
+}
+
+fn begin(fleet: &Fleet, member: u32, address: SocketAddr) -> Option<Pending> {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     let number = NEXT.fetch_add(1, Relaxed);
     let class = &fleet.classes[0].name;
@@ -586,10 +627,6 @@
          X-Contract: {plan}\r\nX-Deadline-Ms: 1000\r\nX-Metering: units=1,spread=1,first={member}\r\n\r\n",
         number % 5_000
     );
-    let sent = unix_now();
-    let (status, head, _) = exchange(address, &request)?;
-    let version = head.lines().find_map(|l| l.strip_prefix("x-rules:")?.trim().parse().ok());
-    let one = Seen { limiter: member, sent, answered: unix_now(), status, version };
-    locked(seen).push(one.clone());
-    Some(one)
+    let at = unix_now();
+    Some(Pending { member, sent: at, stream: sent(address, &request)? })
 }
--- a/tests/fleet_rules.rs
+++ b/tests/fleet_rules.rs
@@ -91,7 +91,12 @@
     // Another one, that it hears nothing of.
     assert_eq!(begin(&tier, 1, 6.0, ""), 2);
     until_version(&tier, &[0, 1, 3, 4], 2);
+    // What waits at it when it goes on is handled before anything that it hears.
+    let waiting: Vec<_> = (0..20).filter_map(|_| tier.send(2)).collect();
+    assert_eq!(waiting.len(), 20);
     tier.thaw(2);
+    let answers: Vec<_> = waiting.into_iter().filter_map(|w| tier.receive(w)).collect();
+    assert!(!answers.is_empty(), "it answers what waited");
     until_version(&tier, &[2], 2);
     in_order(&tier);
 }
@@ -148,6 +153,27 @@
     in_order(&tier);
 }
 
+/// What a member has accepted is written before it says so: killed as it says so, it knows it when it is back, and
+/// what was decided on its word alone is not decided otherwise.
+#[test]
+fn one_killed_as_it_accepts_knows_it_when_it_is_back() {
+    let tier = tier(3);
+    tier.links().cut(0, 2);
+    let killed = tier.kill_at(Cue { from: 1, kind: "accepted", nth: 1 }, 1);
+    begin(&tier, 0, 6.5, "");
+    killed.until_done();
+    tier.until("it is decided", || tier.status(0).is_some_and(|s| s["decided"] == 1));
+    tier.kill(0);
+    tier.links().mend();
+    tier.restart(1, Kept::Whole).expect("it comes up");
+    let made = begin(&tier, 2, 6.0, "");
+    until_version(&tier, &[1, 2], made);
+    tier.restart(0, Kept::Whole).expect("it comes up");
+    until_version(&tier, &[0], made);
+    in_order(&tier);
+    assert_eq!(made, 2, "the version that was decided first stays");
+}
+
 #[test]
 fn a_minority_that_holds_the_operator_changes_nothing() {
     let tier = tier(5);
