--- a/crates/rehearse/src/tier/timeline.rs
+++ b/crates/rehearse/src/tier/timeline.rs
@@ -316,13 +316,14 @@
         tier.links().mend();
         tier.links().weather(Weather::default());
         tier.call_off();
-        for limiter in 0..self.limiters {
-            tier.thaw(limiter);
-            if tier.is_gone(limiter) {
-                tier.restart(limiter, Kept::Whole)?;
-            }
-        }
+        (0..self.limiters).for_each(|limiter| tier.thaw(limiter));
         let stands = tier.comes(|| {
+            // One that its cue killed last may end only now.
+            for limiter in (0..self.limiters).filter(|m| tier.is_gone(*m)) {
+                if tier.restart(limiter, Kept::Whole).is_err() {
+                    return false;
+                }
+            }
             let first = tier.status(0).unwrap_or_default();
             tier.all(|s| {
                 s["standing"] == "current"
