--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -452,14 +452,7 @@
         if let Some(why) = self.ties.base.unfit(&document) {
             return Err((400, why));
         }
-        let (version, _) = self.node.in_force();
-        if document.origin.parent != version {
-            let parent = document.origin.parent;
-            return Err((
-                409,
-                format!("it was made for version {parent}, and version {version} is in force"),
-            ));
-        }
+        let version = self.made_for_now(&document)?;
         let faults = document.check("document", &self.serving);
         if !faults.is_empty() {
             let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
@@ -471,6 +464,15 @@
         Ok(json!({"digest": digest.to_string(), "parent": version, "changes": changes}))
     }
 
+    /// The version in force, if the document was made for it.
+    fn made_for_now(&self, document: &Document) -> Result<Slot, (u16, String)> {
+        let ((version, _), parent) = (self.node.in_force(), document.origin.parent);
+        if parent == version {
+            return Ok(version);
+        }
+        Err((409, format!("it was made for version {parent}, and version {version} is in force")))
+    }
+
     fn commit(&mut self, digest: &str, everyone: bool, except: &BTreeSet<Member>) -> Answer {
         let found: Vec<Digest> =
             self.staged.keys().filter(|d| d.to_string().starts_with(digest)).copied().collect();
@@ -482,14 +484,7 @@
         let all = 0..self.ties.members as Member;
         let needs = all.filter(|m| everyone && *m != own && !except.contains(m)).collect();
         // Meanwhile another version may have come into force.
-        let (version, _) = self.node.in_force();
-        if document.origin.parent != version {
-            let parent = document.origin.parent;
-            return Err((
-                409,
-                format!("it was made for version {parent}, and version {version} is in force"),
-            ));
-        }
+        self.made_for_now(&document)?;
         self.begin(document, needs)
     }
 
