Drop what the agreement's actor and timelines kept for nothing, and share what starts a daemon

The module kept a version's digest that nothing read, and the tier's actor hashed its document at every look for it: a version's number names its document. Timelines held handles that were only dropped, and asked for untold operators only where none can be; they are told of now where a tier stays stuck too, whose verdict is no as before.

Verdicts, bounds and assertions are as they were.

--- a/crates/accord/src/voting.rs
+++ b/crates/accord/src/voting.rs
@@ -107,7 +107,8 @@
         }
     }
 
-    /// A promise came. Once there is a majority of them, and of all it needs, the value is settled: the one accepted in the highest
+    /// A promise came. Once there is a majority of them, and of all it needs, the value is settled: the one
+    /// accepted in the highest
     /// ballot, else its own.
     pub fn promised(&mut self, member: Member, accepted: Option<(Ballot, Value)>, majority: usize) {
         let Phase::Preparing { promises } = &mut self.phase else { return };
--- a/crates/rehearse/src/daemons.rs
+++ b/crates/rehearse/src/daemons.rs
@@ -74,11 +74,7 @@
             });
             let file = folder.path().join(format!("{name}.json"));
             std::fs::write(&file, config.to_string()).map_err(io("a configuration"))?;
-            let mut command = Command::new(&rehearsal.daemon);
-            for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
-                command.env_remove(variable);
-            }
-            command.env("LB_CONFIG", &file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+            let mut command = Command::from(command(&rehearsal.daemon, &file));
             let capture = rehearsal.captures.as_ref().and_then(|c| c.of(number));
             if let Some(capture) = &capture {
                 let settings = folder.path().join(format!("{name}.hcl"));
@@ -122,6 +118,16 @@
     }
 }
 
+/// The daemon on a configuration, without the environment of whoever rehearses; its log is piped.
+pub fn command(binary: &Path, config: &Path) -> std::process::Command {
+    let mut command = std::process::Command::new(binary);
+    for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS"] {
+        command.env_remove(variable);
+    }
+    command.env("LB_CONFIG", config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+}
+
 fn capture_settings(file: &Path) -> String {
     let file = file.display().to_string().replace('\\', "\\\\").replace('"', "\\\"");
     format!("capture {{\n  file = \"{file}\"\n  key = \"{}\"\n  queue = 8192\n}}\n", SECRET)
--- a/crates/rehearse/src/tier/mod.rs
+++ b/crates/rehearse/src/tier/mod.rs
@@ -11,9 +11,9 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::atomic::{AtomicBool, AtomicI32, AtomicU32, AtomicU64, Ordering::Relaxed};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -26,7 +26,8 @@
 
 use sedgestack_fleet::{platform, Fleet};
 
-use crate::{counter, io, roster, Failure};
+use crate::workers::locked;
+use crate::{counter, daemons, io, roster, Failure};
 use judge::{Found, Seen};
 use relay::Relay;
 pub use relay::{Cue, Deed, Weather};
@@ -96,10 +97,6 @@
     _runtime: Runtime,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn unix_now() -> judge::Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as judge::Micros
 }
@@ -214,13 +211,8 @@
 
     fn spawn(&self, member: u32) -> Result<(), Failure> {
         let site = &self.sites[member as usize];
-        let mut command = Command::new(&self.daemon);
-        for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_OPS"] {
-            command.env_remove(variable);
-        }
-        command.env("LB_CONFIG", &site.config).env("TMPDIR", self._folder.path());
-        command.arg("--settings").arg(&site.settings);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut command = daemons::command(&self.daemon, &site.config);
+        command.env("TMPDIR", self._folder.path()).arg("--settings").arg(&site.settings);
         let mut child = command.spawn().map_err(io(self.daemon.display().to_string()))?;
         let stderr = child.stderr.take().expect("it is piped");
         let log = site.log.clone();
--- a/crates/rehearse/src/tier/relay.rs
+++ b/crates/rehearse/src/tier/relay.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::workers::locked;
 use crate::{io, Failure};
 
 /// The longest datagram, and one byte more to tell a longer one.
@@ -97,7 +98,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.state)
     }
 
     async fn link(self, from: u32, to: u32, read: Arc<UdpSocket>, out: Arc<UdpSocket>, target: SocketAddr) {
--- a/crates/rehearse/src/tier/timeline.rs
+++ b/crates/rehearse/src/tier/timeline.rs
@@ -259,7 +259,7 @@
         tier.load();
         let plan = self.fleet.plans[0].name.clone();
         let half = self.fleet.plans[0].rate / 7.2;
-        let (mut begun, mut refused, mut asked, mut waits) = (0, 0, Vec::new(), Vec::new());
+        let (mut begun, mut refused, mut asked) = (0, 0, Vec::new());
         for step in steps {
             match step {
                 Step::Change { at, rate } => {
@@ -281,7 +281,7 @@
                 Step::Kill { limiter } => tier.kill(*limiter),
                 Step::KillAt { limiter, from, kind, nth } => {
                     let kind = KINDS.iter().find(|k| *k == kind).copied().unwrap_or("beat");
-                    waits.push((*limiter, tier.kill_at(Cue { from: *from, kind, nth: *nth }, *limiter)));
+                    let _ = tier.kill_at(Cue { from: *from, kind, nth: *nth }, *limiter);
                 }
                 Step::Restart { limiter, store } => {
                     // One whose cue has not come yet lives: it is killed now.
@@ -312,7 +312,6 @@
                 Step::Pause { ms } => std::thread::sleep(Duration::from_millis(*ms)),
             }
         }
-        drop(waits);
         tier.links().mend();
         tier.links().weather(Weather::default());
         tier.call_off();
@@ -337,7 +336,7 @@
         let open = |m: &u32| tier.status(*m).is_some_and(|s| s["begun_here"]["outcome"] == "open");
         asked.sort_unstable();
         asked.dedup();
-        let untold = asked.into_iter().filter(|m| stands && open(m)).collect();
+        let untold = asked.into_iter().filter(open).collect();
         let history = tier.status(0).map(|s| s["history"].clone()).unwrap_or_default();
         let made = history.as_array().into_iter().flatten().filter(|p| p["void"] == false).count() as u32;
         let stuck = if stands { Vec::new() } else { tier.last_words() };
--- a/crates/rehearse/src/workers.rs
+++ b/crates/rehearse/src/workers.rs
@@ -80,7 +80,8 @@
     slots: Arc<Mutex<Vec<Slot>>>,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// A mutex's inside, also after a holder broke.
+pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,7 +1,8 @@
 //! Documents of what may change in service: plans, classes, limits and addresses, in HCL.
 //!
 //! A [`Document`] is whole: it says everything that may change, not only what does. [`Document::check`] holds it
-//! against the one before, and [`differences`] says in words what changes. What limiters agree on is its text, by its digest.
+//! against the one before, and [`differences`] says in words what changes. What limiters agree on is its
+//! text, by its digest.
 #![forbid(unsafe_code)]
 
 mod decode;
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -778,14 +778,21 @@
         }
     }
 
-    /// Plays steps one after another; the model knows whether a connection stands.
-    async fn play(conducts: Vec<Conduct>) {
+    /// A destination's actor before a scripted listener: what the listener tells, and the module's mail.
+    async fn scripted() -> (Handle, mpsc::UnboundedReceiver<&'static str>, mpsc::Receiver<Mail>, AbortHandle)
+    {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        let (told, mut news) = mpsc::unbounded_channel();
-        let served = tokio::spawn(script(listener, told));
-        let (fleet, mut mail) = fleet();
-        let handle = Handle::start("s-1".into(), addr, fleet);
+        let (told, news) = mpsc::unbounded_channel();
+        let (served, end) = abortable(script(listener, told));
+        tokio::spawn(served);
+        let (fleet, mail) = fleet();
+        (Handle::start("s-1".into(), addr, fleet), news, mail, end)
+    }
+
+    /// Plays steps one after another; the model knows whether a connection stands.
+    async fn play(conducts: Vec<Conduct>) {
+        let (handle, mut news, mut mail, served) = scripted().await;
         let mut stands = false;
         for (attempt, conduct) in conducts.into_iter().enumerate() {
             let attempt = attempt as u32;
@@ -885,12 +892,7 @@
     /// Connections at a server are scarce and a new one costs: steps that follow each other share one.
     #[tokio::test]
     async fn route_steps_one_after_another_use_one_connection() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        let (told, mut news) = mpsc::unbounded_channel();
-        let served = tokio::spawn(script(listener, told));
-        let (fleet, mut mail) = fleet();
-        let handle = Handle::start("s-1".into(), addr, fleet);
+        let (handle, mut news, mut mail, served) = scripted().await;
         for attempt in 0..20 {
             handle.order(Order::Step(a_step(Serve, attempt, LONG)));
             assert_eq!(end(&mut mail).await.outcome, Outcome::Ok);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -429,7 +429,8 @@
 }
 
 /// Serves one front socket. One that stands idle when the program is told to drain or stop is closed at
-/// once, unless it is so new that its first request may be on its way; one that comes in a drain when the program stops, and one that comes later when the listener
+/// once, unless it is so new that its first request may be on its way; one that comes in a drain when the
+/// program stops, and one that comes later when the listener
 /// closes. An answer in a drain or a stop closes its socket. `_share` is let go with it.
 async fn connection(
     mut stream: TcpStream,
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -8,7 +8,6 @@
 use axum::http::{HeaderValue, Method};
 use bytes::Bytes;
 use sedgestack::{BackendId, Class, CounterName, LoadReport, Micros, Outcome, Plan, Request, RequestId};
-use sedgestack_accord::Digest;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -94,7 +93,6 @@
 #[derive(Clone, Debug)]
 pub struct NewRules {
     pub number: u64,
-    pub digest: Digest,
     pub classes: Vec<Class>,
     pub plans: Vec<Plan>,
     /// By class: the longest that a request may wait.
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -273,7 +273,6 @@
             places.map_err(|e| say!("rules: version {}: {e}; it is not taken in", rules.number)).ok()?;
         Some(Version {
             number: rules.number,
-            digest: rules.digest,
             places: Arc::new(places),
             deadlines: rules.deadlines.into(),
             max_retry_after: rules.max_retry_after,
--- a/src/net/rules.rs
+++ b/src/net/rules.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use sedgestack::{Micros, Places};
-use sedgestack_accord::{Digest, Slot};
+use sedgestack_accord::Slot;
 
 /// What a limiter does that has not known the version in force for longer than it waits.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -22,7 +22,6 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Version {
     pub number: Slot,
-    pub digest: Digest,
     /// Where the decisions keep its classes and plans, by their places in the configuration.
     pub places: Arc<Places>,
     /// By class: the longest that a request may wait.
@@ -87,13 +86,7 @@
     const S: Micros = 1_000_000;
 
     fn version(number: Slot) -> Version {
-        Version {
-            number,
-            digest: Digest::of(&[number as u8]),
-            places: Arc::default(),
-            deadlines: Arc::default(),
-            max_retry_after: 0,
-        }
+        Version { number, places: Arc::default(), deadlines: Arc::default(), max_retry_after: 0 }
     }
 
     fn rules(unknown: Unknown, next: Option<(Micros, Version)>) -> Rules {
--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -131,7 +131,7 @@
             }
         }
         let max_retry_after = document.max_retry_after.min(self.max_retry_after);
-        NewRules { number, digest: document.digest(), classes, plans, deadlines, max_retry_after }
+        NewRules { number, classes, plans, deadlines, max_retry_after }
     }
 
     /// What a document asks that can't be changed in service here.
@@ -195,7 +195,7 @@
     /// The snapshot that was kept last; whether more has changed since.
     saved: Vec<u8>,
     noted: bool,
-    told: Option<(Slot, Digest, Assured)>,
+    told: Option<(Slot, Assured)>,
     /// The change that was begun here last, and what became of it.
     begun: Option<(Slot, Digest, &'static str, Vec<Member>)>,
     second: Micros,
@@ -400,11 +400,11 @@
     async fn tell(&mut self) {
         let (number, _) = self.node.in_force();
         let assured = self.node.assured();
-        let word = (number, self.serving.digest(), assured);
+        let word = (number, assured);
         let half_round = self.ties.settings.round / 2;
-        let same = self.told.as_ref().is_some_and(|(n, digest, before)| {
+        let same = self.told.as_ref().is_some_and(|(n, before)| {
             let longer = assured.until.checked_sub(before.until).is_some_and(|more| more < half_round);
-            (*n, *digest, before.next) == (word.0, word.1, assured.next) && longer
+            (*n, before.next) == (number, assured.next) && longer
         });
         if same {
             return;
