--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -11,7 +11,7 @@
 mod voting;
 
 pub use documents::{Digest, LONGEST_DOCUMENT};
-pub use message::{kind, Unheard, FORMAT, LONGEST, MARK};
+pub use message::{kind, open, seal, Unheard, FORMAT, LONGEST, MARK};
 pub use node::{Assured, Node, Out, Refusal, Settings, SettingsFault, Snapshot, Standing, Told};
 pub use voting::{Ballot, Value};
 
--- a/crates/kit/src/faults.rs
+++ b/crates/kit/src/faults.rs
@@ -122,9 +122,10 @@
     results.sort_by_key(|(seed, _)| *seed);
     let mut failed = Vec::new();
     let (mut answers, mut begun, mut made, mut mixing) = (0, 0, 0, 0);
+    let mut unplayed = Vec::new();
     for (seed, played) in &results {
         match played {
-            Err(why) => return Err(format!("seed {seed}: {why}")),
+            Err(why) => unplayed.push(format!("seed {seed}: {why}")),
             Ok(p) => {
                 answers += p.found.answers;
                 (begun, made) = (begun + p.begun, made + p.made);
@@ -167,10 +168,13 @@
              made, largest mixing {mixing} us",
             results.len(),
             arguments.limiters,
-            results.len() - failed.len(),
+            results.len() - failed.len() - unplayed.len(),
             failed.len()
         );
     }
+    if !unplayed.is_empty() {
+        return Err(format!("{} timelines could not be played\n{}", unplayed.len(), unplayed.join("\n")));
+    }
     Ok(if failed.is_empty() { Verdict::Done } else { Verdict::No })
 }
 
--- a/crates/kit/src/tier.rs
+++ b/crates/kit/src/tier.rs
@@ -46,6 +46,9 @@
     /// A limiter that is known to be gone, by its number, as 7 or n7
     #[arg(long, value_name = "LIMITER", value_parser = number)]
     except: Vec<u32>,
+    /// Also where the version in force is pinned
+    #[arg(long)]
+    force: bool,
     /// Says that the change is begun and does not wait for what becomes of it
     #[arg(long)]
     begin_only: bool,
@@ -89,6 +92,25 @@
     value.as_str().map_or_else(|| value.to_string(), String::from)
 }
 
+/// How the watch of the version in force stands at a limiter that judges it.
+fn watched(watch: &Value, pinned: bool) -> String {
+    let told = match (shown(&watch["state"]).as_str(), watch["judges"] == true) {
+        ("watched", true) => {
+            format!("version {}: {} s judged", watch["version"], watch["seconds_after"])
+        }
+        ("watched", false) => format!("version {}: others judge it", watch["version"]),
+        ("undo", _) => format!(
+            "version {}: undone, fell by {:.2}",
+            watch["version"],
+            watch["drop"].as_f64().unwrap_or(0.0)
+        ),
+        ("stands", _) => format!("version {} stands", watch["version"]),
+        _ => String::new(),
+    };
+    let pin = if pinned { "pinned" } else { "" };
+    [pin, &told].into_iter().filter(|t| !t.is_empty()).collect::<Vec<_>>().join(", ")
+}
+
 /// Each limiter's version, standing, and what is pending; no where they differ or one does not answer.
 pub fn status(at: &At, format: Format) -> Result<Verdict, Fault> {
     let all = at.all();
@@ -120,11 +142,12 @@
                     shown(&v["standing"]),
                     format!("{} ms", v["known_for_ms"]),
                     pending.or(open).or(waits).unwrap_or_default(),
+                    watched(&v["watch"], v["pinned"] == true),
                 ]
             }
             Err(why) => vec![a.to_string(), "?".into(), String::new(), String::new(), why.clone()],
         });
-        let head = ["at", "limiter", "version", "document", "standing", "known for", "pending"];
+        let head = ["at", "limiter", "version", "document", "standing", "known for", "pending", "watch"];
         let rows = rows.map(|mut row: Vec<String>| {
             row.resize(head.len(), String::new());
             row
@@ -179,14 +202,17 @@
     if arguments.scope == Scope::All {
         query += "&scope=all";
     }
+    if arguments.force {
+        query += "&force=yes";
+    }
     arguments.except.iter().for_each(|n| query += &format!("&except={n}"));
     follow(first, call(first, "PUT", &query, "")?, arguments.begin_only, format)
 }
 
-/// Begins the change back to the document before the one in force.
-pub fn undo(at: &At, format: Format) -> Result<Verdict, Fault> {
+/// Begins a change that needs no document (undo, hold, pin), and waits for what becomes of it.
+pub fn begin(at: &At, what: &str, format: Format) -> Result<Verdict, Fault> {
     let first = at.first()?;
-    follow(first, call(first, "PUT", "rules/undo", "")?, false, format)
+    follow(first, call(first, "PUT", &format!("rules/{what}"), "")?, false, format)
 }
 
 /// Waits for what becomes of a change that was begun at a limiter.
--- a/crates/kit/src/versions.rs
+++ b/crates/kit/src/versions.rs
@@ -23,9 +23,11 @@
   sedgestack-kit config status --at 10.0.0.4:9901 10.0.0.5:9901 10.0.0.6:9901
   sedgestack-kit config commit next.hcl --at 10.0.0.4:9901 10.0.0.5:9901 --scope all --except n7
   sedgestack-kit config undo --at 10.0.0.4:9901
+  sedgestack-kit config hold --at 10.0.0.4:9901
+  sedgestack-kit config pin --off --at 10.0.0.4:9901
 
-Exit status of status: 0 all named limiters stand current under one version, 1 they don't. Of commit and undo:
-0 made and in force, 1 not made.")]
+Exit status of status: 0 all named limiters stand current under one version, 1 they don't. Of commit, undo,
+hold and pin: 0 made and in force, 1 not made.")]
 pub enum Command {
     /// Holds a version against the one before it; 1 where a rule refuses it
     Check(Check),
@@ -48,7 +50,23 @@
     /// Makes a document the next version, everywhere or nowhere
     Commit(tier::Commit),
     /// Goes back to the document before the one in force, as a next version
-    Undo(tier::At),
+    Undo {
+        #[command(flatten)]
+        at: tier::At,
+        /// Also where the version in force is pinned
+        #[arg(long)]
+        force: bool,
+    },
+    /// Ends the watch of the version in force: it is not undone by itself
+    Hold(tier::At),
+    /// Lets no change be made of the version in force unless it is forced, and ends its watch
+    Pin {
+        #[command(flatten)]
+        at: tier::At,
+        /// Lets changes be made again
+        #[arg(long)]
+        off: bool,
+    },
     /// Lists the versions that were decided
     History(tier::At),
     /// Lets limiters that have all forgotten go on: a new tier, or one whose stores are lost
@@ -81,7 +99,11 @@
         Command::Status(at) => tier::status(at, format),
         Command::Stage { file, at } => tier::stage(file, at, format),
         Command::Commit(arguments) => tier::commit(arguments, format),
-        Command::Undo(at) => tier::undo(at, format),
+        Command::Undo { at, force } => {
+            tier::begin(at, if *force { "undo?force=yes" } else { "undo" }, format)
+        }
+        Command::Hold(at) => tier::begin(at, "hold", format),
+        Command::Pin { at, off } => tier::begin(at, if *off { "pin?off=yes" } else { "pin" }, format),
         Command::History(at) => tier::history(at, format),
         Command::Adopt(at) => tier::adopt(at, format),
         Command::Diff { before, next } => {
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -107,6 +107,8 @@
     Io { what: String, why: std::io::Error },
     #[error("{name} ended before it was ready; its log: {log}")]
     DaemonEnded { name: String, log: String },
+    #[error("{name} was killed before it was ready")]
+    Killed { name: String },
     #[error("{name} left no capture; its log: {log}")]
     NoCapture { name: String, log: String },
     #[error("{name} was not ready within {seconds} s; its log: {log}")]
--- a/crates/rules/src/decode.rs
+++ b/crates/rules/src/decode.rs
@@ -16,6 +16,8 @@
         parent: version.whole("parent", 0..=u64::from(u32::MAX))?,
         author: version.text("author")?.to_string(),
         reason: version.text("reason")?.to_string(),
+        watch: version.flag_or("watch", true)?,
+        pinned: version.flag_or("pinned", false)?,
     };
     if origin.author.trim().is_empty() {
         return Err(version.fault_at("author", "expected who made the change"));
@@ -134,7 +136,7 @@
             faults.push(own(format!("overrides {key}, which does not change")));
         }
     }
-    if changes.is_empty() && faults.is_empty() {
+    if changes.is_empty() && faults.is_empty() && document.origin.pinned == before.origin.pinned {
         faults.push(root.fault("changes nothing"));
     }
     faults
--- a/crates/rules/src/differences.rs
+++ b/crates/rules/src/differences.rs
@@ -1,5 +1,7 @@
 //! What changes from one version to the next, in words that a support lead reads.
 
+use std::collections::BTreeSet;
+
 use serde::Serialize;
 
 use crate::{Document, Micros};
@@ -63,6 +65,17 @@
     (from != to).then(|| Difference { key: key.into(), from, to, factor: None, words })
 }
 
+/// The plans that a change touches: those whose figures differ, and all where a class or a limit does.
+pub fn touched(before: &Document, after: &Document) -> BTreeSet<String> {
+    let changes = differences(before, after);
+    let of = |change: &Difference| {
+        let rest = change.key.strip_prefix("plan.")?;
+        Some(rest.rsplit_once('.').map_or(rest, |(name, _)| name).to_string())
+    };
+    let plans: Option<BTreeSet<String>> = changes.iter().map(of).collect();
+    plans.unwrap_or_else(|| after.plans.keys().cloned().collect())
+}
+
 /// Everything that differs, plans first.
 pub fn differences(before: &Document, after: &Document) -> Vec<Difference> {
     let mut found = Vec::new();
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-pub use differences::{differences, Difference};
+pub use differences::{differences, touched, Difference};
 pub use sedgestack_accord::Digest;
 pub use sedgestack_hcl::{Fault, Micros};
 
@@ -26,6 +26,10 @@
     pub parent: u64,
     pub author: String,
     pub reason: String,
+    /// Whether it is watched, and undone by itself where service drops.
+    pub watch: bool,
+    /// No change is made of it unless it is forced.
+    pub pinned: bool,
 }
 
 /// What a plan allows.
@@ -101,21 +105,51 @@
         let mut text = String::from(
             "version {\n  parent = 0\n  author = \"configuration\"\n  reason = \"as the limiters were configured\"\n}\n",
         );
-        for (name, p) in plans {
-            text += &format!(
-                "\nplan \"{name}\" {{\n  rate  = {}\n  burst = {}\n  price = {}\n}}\n",
-                p.rate, p.burst, p.price
-            );
-        }
-        for (name, c) in classes {
-            text += &format!(
-                "\nclass \"{name}\" {{\n  aim      = \"{}us\"\n  deadline = \"{}us\"\n}}\n",
-                c.aim, c.deadline
-            );
-        }
-        if max_retry_after > 0 {
-            text += &format!("\nlimits {{\n  max_retry_after = \"{max_retry_after}us\"\n}}\n");
-        }
+        text += &figures(plans, classes, max_retry_after);
         text
     }
+
+    /// The text of a next version with the same figures, which is not watched: the one in force is meant to stay.
+    /// `pinned` says that no change is made of it unless it is forced.
+    pub fn held(&self, parent: u64, pinned: bool) -> String {
+        let reason = match (pinned, self.origin.pinned) {
+            (true, _) => "pinned by an operator",
+            (false, true) => "no longer pinned",
+            (false, false) => "held by an operator",
+        };
+        let head = format!(
+            "version {{\n  parent = {parent}\n  author = \"operator\"\n  reason = \"{reason}\"\n  watch  = false\n  \
+             pinned = {pinned}\n}}\n"
+        );
+        head + &figures(&self.plans, &self.classes, self.max_retry_after)
+    }
+
+    /// Whether another document asks for the same figures.
+    pub fn same_figures(&self, other: &Document) -> bool {
+        differences(self, other).is_empty() && differences(other, self).is_empty()
+    }
+}
+
+fn figures(
+    plans: &BTreeMap<String, Plan>,
+    classes: &BTreeMap<String, Class>,
+    max_retry_after: Micros,
+) -> String {
+    let mut text = String::new();
+    for (name, p) in plans {
+        text += &format!(
+            "\nplan \"{name}\" {{\n  rate  = {}\n  burst = {}\n  price = {}\n}}\n",
+            p.rate, p.burst, p.price
+        );
+    }
+    for (name, c) in classes {
+        text += &format!(
+            "\nclass \"{name}\" {{\n  aim      = \"{}us\"\n  deadline = \"{}us\"\n}}\n",
+            c.aim, c.deadline
+        );
+    }
+    if max_retry_after > 0 {
+        text += &format!("\nlimits {{\n  max_retry_after = \"{max_retry_after}us\"\n}}\n");
+    }
+    text
 }
--- /dev/null
+++ b/crates/watch/src/tallies.rs
@@ -0,0 +1,340 @@
+//! Tallies of a change under watch, summed over all limiters up trees of them.
+//!
+//! In a tier of up to [`DIRECT`] limiters each is the root of a tree of its own, and all others tell it directly: each
+//! judges the whole tier. In a larger one there are two trees of fan-in [`FAN_IN`]; a limiter that is an inner
+//! node of one is a leaf of the other, so that no single one takes a part of the tier out of both. Each step a limiter
+//! sends its parent in every tree one datagram with the sums of its own part, second by second; sums replace those
+//! told before, so that loss, doubling and reordering cost time and nothing else.
+
+use std::collections::BTreeMap;
+
+use sedgestack_accord::{open, seal, Member, Slot, Unheard};
+use serde::{Deserialize, Serialize};
+
+use crate::Second;
+
+/// First byte of a datagram of tallies.
+pub const MARK: u8 = 0xa8;
+/// The largest tier in which every limiter tells every other.
+pub const DIRECT: Member = 9;
+/// Children of a node in larger tiers: with two trees, 8 datagrams a second are taken in at most.
+pub const FAN_IN: Member = 4;
+/// Seconds in a datagram: 256 bytes hold no more with the largest numbers.
+const WINDOW: u64 = 8;
+
+/// Tries of one second, and of them those served in time, with how many limiters they are of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sum {
+    pub members: Member,
+    pub touched: (u32, u32),
+    pub control: (u32, u32),
+}
+
+impl Sum {
+    fn with(self, other: Sum) -> Sum {
+        let add = |a: (u32, u32), b: (u32, u32)| (a.0.saturating_add(b.0), a.1.saturating_add(b.1));
+        Sum {
+            members: self.members.saturating_add(other.members),
+            touched: add(self.touched, other.touched),
+            control: add(self.control, other.control),
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Told {
+    from: Member,
+    tree: Member,
+    version: Slot,
+    /// The second of the first sum; the others follow it.
+    first: u64,
+    sums: Vec<Sum>,
+}
+
+/// The trees of a tier.
+#[derive(Clone, Copy, Debug)]
+struct Trees {
+    members: Member,
+    /// The root of the first tree: drawn by the version, so that no limiter always has the work.
+    root: Member,
+}
+
+impl Trees {
+    fn count(self) -> Member {
+        if self.members <= DIRECT {
+            self.members
+        } else {
+            2
+        }
+    }
+
+    fn fan_in(self) -> u32 {
+        u32::from(if self.members <= DIRECT { DIRECT } else { FAN_IN })
+    }
+
+    /// The member that `member` tells in a tree; `None` for its root.
+    fn parent(self, tree: Member, member: Member) -> Option<Member> {
+        let [n, root, tree, member] = [self.members, self.root, tree, member].map(u32::from);
+        // The second large tree counts backward: its inner nodes are the leaves of the first.
+        let backward = self.members > DIRECT && tree == 1;
+        let place = if backward { root + n - 1 - member } else { member + 2 * n - root - tree } % n;
+        let above = place.checked_sub(1)? / self.fan_in();
+        let found = if backward { root + 2 * n - 1 - above } else { above + root + tree } % n;
+        Some(found as Member)
+    }
+
+    /// Steps from the leaves to the root.
+    fn depth(self) -> u64 {
+        let (mut deep, mut room, mut row) = (0, 1, 1);
+        while room < u32::from(self.members) {
+            row *= self.fan_in();
+            (deep, room) = (deep + 1, room + row);
+        }
+        deep
+    }
+}
+
+/// One limiter's part in the tallies of a version.
+#[derive(Clone, Debug)]
+pub struct Tallies {
+    trees: Trees,
+    member: Member,
+    version: Slot,
+    /// From the first second of the time before to the first of the change, which may lie within a second that
+    /// belongs to neither; and the first after it.
+    first: u64,
+    before: u64,
+    after: u64,
+    /// Seconds of the watch after the change.
+    watch_s: u64,
+    own: BTreeMap<u64, Sum>,
+    heard: BTreeMap<(Member, Member), BTreeMap<u64, Sum>>,
+    steps: u64,
+}
+
+impl Tallies {
+    /// The part of `member` of `members` in the watch of a version that is in force from `moment` on (microseconds
+    /// of the tier's clock), held against `before_s` seconds and watched for `watch_s`.
+    pub fn new(
+        (member, members): (Member, Member),
+        version: Slot,
+        moment: u64,
+        (before_s, watch_s): (u32, u32),
+    ) -> Tallies {
+        let before = moment / 1_000_000;
+        Tallies {
+            trees: Trees { members, root: (version % u64::from(members.max(1))) as Member },
+            member,
+            version,
+            first: before.saturating_sub(before_s.into()),
+            before,
+            after: moment.div_ceil(1_000_000),
+            watch_s: watch_s.into(),
+            own: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            steps: 0,
+        }
+    }
+
+    /// Whether a second belongs to the watch, and to the time after the change.
+    pub fn place(&self, second: u64) -> Option<bool> {
+        let after = self.after..self.after + self.watch_s;
+        match second {
+            s if (self.first..self.before).contains(&s) => Some(false),
+            s if after.contains(&s) => Some(true),
+            _ => None,
+        }
+    }
+
+    /// Notes this limiter's own tries of a second.
+    pub fn own(&mut self, second: u64, touched: (u32, u32), control: (u32, u32)) {
+        if self.place(second).is_some() {
+            self.own.insert(second, Sum { members: 1, touched, control });
+        }
+    }
+
+    /// Takes a datagram in.
+    ///
+    /// # Errors
+    /// Where it is damaged, or nothing that this limiter is to be told.
+    pub fn hear(&mut self, bytes: &[u8]) -> Result<(), Unheard> {
+        let told: Told = open(MARK, bytes)?;
+        let trees = self.trees;
+        let mine = told.from < trees.members
+            && told.tree < trees.count()
+            && trees.parent(told.tree, told.from) == Some(self.member);
+        if !mine || told.version != self.version {
+            return Err(Unheard::Stranger);
+        }
+        let known = self.heard.entry((told.tree, told.from)).or_default();
+        for (second, sum) in (told.first..).zip(told.sums) {
+            let within = second >= self.first && second < self.after + self.watch_s;
+            let before = known.get(&second).map_or(0, |s| s.members);
+            // A sum of fewer members is an older one that came late.
+            if within && sum.members >= before {
+                known.insert(second, sum);
+            }
+        }
+        Ok(())
+    }
+
+    /// What is known of a second in a tree, below this limiter and at it.
+    fn sum(&self, tree: Member, second: u64) -> Sum {
+        let below = self.heard.range((tree, 0)..=(tree, Member::MAX)).filter_map(|(_, s)| s.get(&second));
+        below.fold(self.own.get(&second).copied().unwrap_or_default(), |all, s| all.with(*s))
+    }
+
+    /// One step, once a second: the datagrams to send, the latest seconds and earlier ones in turn.
+    pub fn step(&mut self, now: u64) -> Vec<(Member, Vec<u8>)> {
+        let end = now.min(self.after + self.watch_s);
+        let latest = end.saturating_sub(WINDOW).max(self.first);
+        let earlier = (latest - self.first).div_ceil(WINDOW);
+        let (turn, odd) = (self.steps / 2, self.steps % 2 == 1);
+        self.steps += 1;
+        let from = if odd && earlier > 0 { self.first + turn % earlier * WINDOW } else { latest };
+        let seconds = from..end.min(from + WINDOW);
+        if seconds.is_empty() {
+            return Vec::new();
+        }
+        let parents = (0..self.trees.count()).filter_map(|t| Some((t, self.trees.parent(t, self.member)?)));
+        let told = parents.map(|(tree, to)| {
+            let sums = seconds.clone().map(|s| self.sum(tree, s)).collect();
+            let told = Told { from: self.member, tree, version: self.version, first: from, sums };
+            (to, seal(MARK, &told))
+        });
+        told.collect()
+    }
+
+    /// The tree whose root this limiter is: it judges.
+    pub fn judges(&self) -> Option<Member> {
+        (0..self.trees.count()).find(|tree| self.trees.parent(*tree, self.member).is_none())
+    }
+
+    /// Seconds for which it waits until one has come up the tree: each step tells the latest seconds every other
+    /// time.
+    pub fn settles_s(&self) -> u64 {
+        2 * self.trees.depth() + 1
+    }
+
+    /// How many seconds after the change have settled; the seconds before and after it that a majority's tallies
+    /// are in; and the limiters in the latest of these.
+    pub fn gathered(&self, tree: Member, now: u64) -> (u32, Vec<Second>, Vec<Second>, Member) {
+        let settled = now.saturating_sub(self.settles_s());
+        let passed = settled.saturating_sub(self.after).min(self.watch_s);
+        let mut heard = 0;
+        let mut of = |seconds: std::ops::Range<u64>| -> Vec<Second> {
+            let sums = seconds.map(|s| self.sum(tree, s));
+            let whole = sums.filter(|s| s.members > self.trees.members / 2);
+            let wide = |(n, k): (u32, u32)| (n.into(), k.into());
+            whole
+                .inspect(|s| heard = s.members)
+                .map(|s| Second { touched: wide(s.touched), control: wide(s.control) })
+                .collect()
+        };
+        let (before, after) = (of(self.first..self.before), of(self.after..self.after + passed));
+        (passed as u32, before, after, heard)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MOMENT: u64 = 100_500_000;
+
+    fn tier(members: Member, version: Slot) -> Vec<Tallies> {
+        (0..members).map(|m| Tallies::new((m, members), version, MOMENT, (20, 30))).collect()
+    }
+
+    /// Each limiter has as many tries as its number and one; every datagram for which `lost` says no arrives.
+    fn play(tier: &mut [Tallies], until: u64, mut lost: impl FnMut(Member, Member) -> bool) -> u64 {
+        let mut busiest = 0;
+        for now in 80..until {
+            let mut taken = vec![0; tier.len()];
+            for n in 0..tier.len() {
+                tier[n].own(now - 1, (n as u32 + 1, n as u32), (10, 10));
+                for (to, bytes) in tier[n].step(now) {
+                    assert!(bytes.len() <= 256);
+                    if !lost(n as Member, to) {
+                        taken[usize::from(to)] += 1;
+                        tier[usize::from(to)].hear(&bytes).expect("it is for this one");
+                    }
+                }
+            }
+            busiest = busiest.max(taken.into_iter().max().unwrap_or(0));
+        }
+        busiest
+    }
+
+    #[test]
+    fn every_tree_reaches_every_limiter_once() {
+        for members in [1, 2, 3, 5, 9, 10, 30, 100, 300] {
+            for version in [0, 7, 299] {
+                let trees = tier(members, version)[0].trees;
+                for tree in 0..trees.count() {
+                    let roots = (0..members).filter(|m| trees.parent(tree, *m).is_none()).count();
+                    assert_eq!(roots, 1, "{members} limiters");
+                    for member in 0..members {
+                        let way = std::iter::successors(Some(member), |m| trees.parent(tree, *m));
+                        assert!(way.count() as u64 <= trees.depth() + 1, "{member} of {members}");
+                    }
+                }
+                let inner = |tree| -> std::collections::BTreeSet<Member> {
+                    (0..members).filter_map(|m| trees.parent(tree, m)).collect()
+                };
+                assert!(members <= DIRECT || inner(0).is_disjoint(&inner(1)), "{members} limiters");
+            }
+        }
+    }
+
+    #[test]
+    fn the_root_has_the_tiers_sum_and_takes_in_eight_a_second_at_most() {
+        for members in [3, 9, 30, 300] {
+            let mut tier = tier(members, 1);
+            let busiest = play(&mut tier, 125, |_, _| false);
+            assert!(busiest <= 8, "{members} limiters: {busiest}");
+            let root = tier.iter().find(|t| t.judges() == Some(0)).expect("there is one");
+            let (passed, before, after, heard) = root.gathered(0, 124);
+            let n = u64::from(members);
+            let whole = Second { touched: (n * (n + 1) / 2, n * (n - 1) / 2), control: (10 * n, 10 * n) };
+            assert_eq!((heard, before.len(), after.len()), (members, 20, passed as usize), "{members}");
+            assert!(before.iter().chain(&after).all(|s| *s == whole), "{members} limiters");
+        }
+    }
+
+    #[test]
+    fn a_second_that_less_than_a_majority_told_of_does_not_count() {
+        let mut five = tier(5, 1);
+        play(&mut five, 125, |from, to| from.min(to) < 2 && from.max(to) >= 2);
+        let judged = |m: usize| five[m].gathered(five[m].judges().expect("all judge"), 124);
+        assert!(judged(0).1.is_empty() && judged(1).2.is_empty(), "two of five judge nothing");
+        assert_eq!((judged(2).1.len(), judged(4).3), (20, 3));
+    }
+
+    #[test]
+    fn loss_of_a_third_leaves_most_of_the_tier_in_the_sum() {
+        let mut draws = 7u32;
+        let mut hundred = tier(100, 3);
+        play(&mut hundred, 131, |_, _| {
+            draws = draws.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            draws >> 16 < 65_536 / 3
+        });
+        let root = hundred.iter().find(|t| t.judges() == Some(0)).expect("there is one");
+        let (_, before, after, heard) = root.gathered(0, 130);
+        assert!(before.len() >= 18 && after.len() >= 15 && heard > 50, "{before:?} {after:?} {heard}");
+    }
+
+    #[test]
+    fn what_is_damaged_or_another_versions_is_not_taken_in() {
+        let mut three = tier(3, 1);
+        three[0].own(90, (1, 1), (1, 1));
+        let (to, bytes) = three[0].step(95).remove(0);
+        let mut other = Tallies::new((to, 3), 2, MOMENT, (20, 30));
+        assert_eq!(other.hear(&bytes), Err(Unheard::Stranger));
+        for place in 0..bytes.len() {
+            let mut flipped = bytes.clone();
+            flipped[place] ^= 0x10;
+            assert!(three[usize::from(to)].hear(&flipped).is_err());
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,6 +26,7 @@
 use net::settings::{self, Settings};
 use net::shutdown::{Phase, Signals};
 use net::tier::{Base, Tier};
+use net::watch::Tally;
 use net::{cordons, front, list, log, tier};
 
 /// Room of the module's mailbox and of those of the list, the counter and the peers.
@@ -84,6 +85,8 @@
         peers = Some(messages);
     }
 
+    let (tallies, tallied) = mpsc::channel(SMALL_MAILBOX);
+    let watches = tier_settings.as_ref().is_some_and(|t| t.watch.is_some());
     let version = config.known.version;
     lists.try_send(config.known).map_err(|_| "the list's mailbox is full")?;
     tokio::spawn(list::run(addresses, version, lists));
@@ -107,6 +110,7 @@
             .map(Into::into)
             .collect(),
         rules: tier_settings.as_ref().map(|t| (t.unknown, t.wait)),
+        tally: watches.then(|| Tally::new(config.settings.plans.len(), tallies)),
     };
     let (control, controls) = mpsc::channel(CONTROL_MAILBOX);
     let mut tier = None;
@@ -127,7 +131,7 @@
             module: control.clone(),
         };
         let (calls, asked) = mpsc::channel(CONTROL_MAILBOX);
-        tokio::spawn(Tier::new(ties)?.run(agreed, asked));
+        tokio::spawn(Tier::new(ties)?.run(agreed, asked, tallied));
         tier = Some(calls);
     }
     let decisions = tokio::spawn(Module::new(gateway, ties).run(changes, controls, mailbox));
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -19,8 +19,12 @@
     pending: AtomicI64,
     members: AtomicU64,
     unavailable: AtomicU64,
+    /// The version of the rules in force; [`NO_RULES`] where there are no versions.
+    rules: AtomicU64,
 }
 
+const NO_RULES: u64 = u64::MAX;
+
 impl Figures {
     /// Figures for the classes named, in the order of their places.
     pub fn new<'a>(classes: impl IntoIterator<Item = &'a str>) -> Figures {
@@ -30,6 +34,7 @@
             pending: AtomicI64::new(0),
             members: AtomicU64::new(0),
             unavailable: AtomicU64::new(0),
+            rules: AtomicU64::new(NO_RULES),
         }
     }
 
@@ -63,8 +68,13 @@
         self.unavailable.store(out as u64, Relaxed);
     }
 
+    /// The version of the rules that is in force.
+    pub fn rules(&self, version: u64) {
+        self.rules.store(version, Relaxed);
+    }
+
     /// All figures as JSON: `downstream_requests.CLASS.completed|rejected|failed`, `upstream_requests`,
-    /// `pending`, `members`, `members_unavailable`.
+    /// `pending`, `members`, `members_unavailable`, and where limiters agree on versions, `rules`.
     pub fn json(&self) -> Value {
         let classes: Map<String, Value> = self
             .classes
@@ -74,13 +84,18 @@
                 (name.clone(), json!({"completed": completed, "rejected": rejected, "failed": failed}))
             })
             .collect();
-        json!({
+        let mut told = json!({
             "downstream_requests": classes,
             "upstream_requests": self.upstream.load(Relaxed),
             "pending": self.pending.load(Relaxed).max(0),
             "members": self.members.load(Relaxed),
             "members_unavailable": self.unavailable.load(Relaxed),
-        })
+        });
+        let rules = self.rules.load(Relaxed);
+        if rules != NO_RULES {
+            told["rules"] = rules.into();
+        }
+        told
     }
 }
 
@@ -104,6 +119,9 @@
         assert_eq!(told["downstream_requests"]["write"], json!({"completed": 1, "rejected": 1, "failed": 1}));
         assert_eq!(told["downstream_requests"]["read"], json!({"completed": 0, "rejected": 0, "failed": 0}));
         assert_eq!((told["pending"].as_u64(), told["upstream_requests"].as_u64()), (Some(1), Some(1)));
+        assert!(told.get("rules").is_none());
+        figures.rules(3);
+        assert_eq!(figures.json()["rules"], 3);
         assert_eq!((told["members"].as_u64(), told["members_unavailable"].as_u64()), (Some(5), Some(2)));
     }
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -116,6 +116,12 @@
     tier_over,
     tier_unknown_format,
     tier_unheard,
+    /// Datagrams of tallies: taken in, dropped as over their part of what is taken in, and damaged ones or of no
+    /// version that is watched here; and changes that were begun here to undo one by itself.
+    tallies_taken_in,
+    tallies_over,
+    tallies_unheard,
+    undone,
     /// Writes of the agreement's memory, those that failed, and files set aside at a start.
     tier_saved,
     tier_unsaved,
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -28,6 +28,7 @@
 use super::pool::Change;
 use super::recorder::{Entry, Recorder};
 use super::rules::{Rules, Unknown, Version, Word};
+use super::watch::Tally;
 use crate::say;
 
 /// Mail handled in one batch at most: a flood must not keep timers waiting.
@@ -45,8 +46,8 @@
     deadline: Instant,
     /// Gone once the final answer is out, or nobody waits for it.
     reply: Option<oneshot::Sender<Answer>>,
-    /// The version of the rules that it was taken under, and the longest time to come back that it allows.
-    version: Option<(u64, Micros)>,
+    /// The version of the rules that it was taken under.
+    version: Option<Under>,
     /// Who took the route steps, in order (an actor that was replaced still has its own), and how many are
     /// out.
     steps: Vec<Option<Handle>>,
@@ -55,6 +56,17 @@
     told: Option<Box<(Request, Origin)>>,
 }
 
+/// What a request keeps of the version that it was taken under.
+#[derive(Clone, Copy)]
+struct Under {
+    number: u64,
+    max_retry_after: Micros,
+    /// Its plan's place in the configuration, and within what its class is in time.
+    plan: usize,
+    aim: Duration,
+    came: Instant,
+}
+
 /// What the module needs of the program around it.
 pub struct Ties {
     pub clock: Clock,
@@ -73,6 +85,8 @@
     /// Where limiters agree on versions of the rules: what is done while the one in force is not known, and how
     /// long is waited before.
     pub rules: Option<(Unknown, Micros)>,
+    /// Counts tries for the watch of changes, where there is one.
+    pub tally: Option<Tally>,
 }
 
 /// The module's actor.
@@ -273,6 +287,7 @@
             places.map_err(|e| say!("rules: version {}: {e}; it is not taken in", rules.number)).ok()?;
         Some(Version {
             number: rules.number,
+            aims: rules.classes.iter().map(|c| c.aim).collect(),
             places: Arc::new(places),
             deadlines: rules.deadlines.into(),
             max_retry_after: rules.max_retry_after,
@@ -303,6 +318,8 @@
                 if let Some(open) = self.requests.get_mut(&id).filter(|o| o.reply.is_some()) {
                     COUNTERS.abandoned.one();
                     open.reply = None;
+                    let under = open.version;
+                    self.tally(under, false);
                     self.record(id, CapturedOutcome::Abandoned, None);
                     self.events.push(Event::Abandoned { request: id });
                     self.tidy(id);
@@ -342,7 +359,14 @@
                 let _ = taken.reply.send((Reply::Busy { retry_after: RULES_UNKNOWN_WAIT }, None));
                 return;
             };
-            version = Some((rules.number, rules.max_retry_after));
+            let aim = rules.aims.get(request.class).copied().unwrap_or(Micros::MAX);
+            version = Some(Under {
+                number: rules.number,
+                max_retry_after: rules.max_retry_after,
+                plan: request.plan,
+                aim: Duration::from_micros(aim),
+                came: taken.origin.came,
+            });
             let longest = rules.deadlines.get(request.class).copied().unwrap_or(Micros::MAX);
             deadline = deadline.min(taken.origin.came + Duration::from_micros(longest));
             let place = |places: &[usize], n: usize| places.get(n).copied().unwrap_or(n);
@@ -370,7 +394,9 @@
         if let (Outcome::Ok, Some(body)) = (end.outcome, end.body) {
             if let Some(reply) = open.reply.take() {
                 COUNTERS.served.one();
-                let _ = reply.send((Reply::Served(body), open.version.map(|(number, _)| number)));
+                let under = open.version;
+                let _ = reply.send((Reply::Served(body), under.map(|u| u.number)));
+                self.tally(under, true);
                 self.record(end.request, CapturedOutcome::Served, Some(end.attempt as usize));
             }
         }
@@ -409,6 +435,9 @@
             }
         }
         self.tell_ready(now);
+        if let Some(tally) = &mut self.ties.tally {
+            tally.turn(now);
+        }
         if self.events.is_empty() {
             return;
         }
@@ -434,7 +463,9 @@
         if !versions && self.ties.ready.load(Relaxed) {
             return;
         }
-        let known = !versions || self.rules.as_mut().is_some_and(|r| r.at(now).is_some());
+        let version = self.rules.as_mut().and_then(|r| r.at(now)).map(|v| v.number);
+        version.inspect(|v| self.ties.figures.rules(*v));
+        let known = !versions || version.is_some();
         let serves = self.destinations.values().any(|(_, listed)| listed.state == BackendState::InService);
         self.ties.ready.store(known && serves, Relaxed);
     }
@@ -506,17 +537,26 @@
             };
             count.one();
             let reply = match (reply, open.version) {
-                (Reply::Busy { retry_after }, Some((_, most))) => {
-                    Reply::Busy { retry_after: retry_after.min(most) }
+                (Reply::Busy { retry_after }, Some(under)) => {
+                    Reply::Busy { retry_after: retry_after.min(under.max_retry_after) }
                 }
                 (reply, _) => reply,
             };
-            let _ = waiting.send((reply, open.version.map(|(number, _)| number)));
+            let under = open.version;
+            let _ = waiting.send((reply, under.map(|u| u.number)));
+            self.tally(under, false);
             self.record(id, outcome, None);
         }
         self.tidy(id);
     }
 
+    /// Counts a try that has ended for the watch of changes; served in time where it was `served` within its aim.
+    fn tally(&mut self, under: Option<Under>, served: bool) {
+        if let (Some(tally), Some(under)) = (&mut self.ties.tally, under) {
+            tally.ended(under.number, under.plan, served && under.came.elapsed() <= under.aim);
+        }
+    }
+
     /// Tells the capture, where there is one, how a request was answered: by route step `step`, if by one.
     fn record(&mut self, id: RequestId, outcome: CapturedOutcome, step: Option<usize>) {
         let Some(recorder) = &self.ties.recorder else { return };
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -114,6 +114,8 @@
         .route("/admin/rules/stage", put(stage))
         .route("/admin/rules/commit", put(commit))
         .route("/admin/rules/undo", put(undo))
+        .route("/admin/rules/hold", put(hold))
+        .route("/admin/rules/pin", put(pin))
         .route("/admin/rules/adopt", put(adopt))
         .fallback(|| async { no(StatusCode::NOT_FOUND, "no such call") })
         .with_state(Arc::new(ops))
@@ -239,30 +241,50 @@
 }
 
 /// Begins a change: `digest=HEX`, `scope=all` for one that every member must answer, `except=N` for each that need
-/// not.
+/// not; `force=yes` where the version in force is pinned.
 async fn commit(State(ops): State<Arc<Ops>>, uri: Uri) -> Response {
-    let (mut digest, mut everyone, mut except) = (None, false, BTreeSet::new());
+    let (mut digest, mut everyone, mut except, mut force) = (None, false, BTreeSet::new(), false);
     for pair in uri.query().unwrap_or_default().split('&').filter(|p| !p.is_empty()) {
         let understood = match pair.split_once('=') {
             Some(("digest", d)) if !d.is_empty() => digest.replace(d.to_string()).is_none(),
             Some(("scope", "all")) => !std::mem::replace(&mut everyone, true),
             Some(("scope", "majority")) => true,
+            Some(("force", "yes")) => !std::mem::replace(&mut force, true),
             Some(("except", n)) => n.parse().is_ok_and(|n| except.insert(n)),
             _ => false,
         };
         if !understood {
             return no(
                 StatusCode::BAD_REQUEST,
-                &format!("{pair}: expected digest=, scope=majority|all, except=N"),
+                &format!("{pair}: expected digest=, scope=majority|all, except=N, force=yes"),
             );
         }
     }
     let Some(digest) = digest else { return no(StatusCode::BAD_REQUEST, "expected digest=HEX") };
-    ask(&ops, Call::Commit { digest, everyone, except }).await
+    ask(&ops, Call::Commit { digest, everyone, except, force }).await
 }
 
-async fn undo(State(ops): State<Arc<Ops>>) -> Response {
-    ask(&ops, Call::Undo).await
+/// Begins the change back; `force=yes` where the version in force is pinned.
+async fn undo(State(ops): State<Arc<Ops>>, uri: Uri) -> Response {
+    match uri.query().unwrap_or_default() {
+        "" => ask(&ops, Call::Undo { force: false }).await,
+        "force=yes" => ask(&ops, Call::Undo { force: true }).await,
+        other => no(StatusCode::BAD_REQUEST, &format!("{other}: expected force=yes, or nothing")),
+    }
+}
+
+/// Begins a version of the same figures that is not watched.
+async fn hold(State(ops): State<Arc<Ops>>) -> Response {
+    ask(&ops, Call::Hold { pinned: false }).await
+}
+
+/// Begins a version of the same figures that no change is made of unless it is forced; `off=yes` ends that.
+async fn pin(State(ops): State<Arc<Ops>>, uri: Uri) -> Response {
+    match uri.query().unwrap_or_default() {
+        "" => ask(&ops, Call::Hold { pinned: true }).await,
+        "off=yes" => ask(&ops, Call::Unpin).await,
+        other => no(StatusCode::BAD_REQUEST, &format!("{other}: expected off=yes, or nothing")),
+    }
 }
 
 async fn adopt(State(ops): State<Arc<Ops>>) -> Response {
--- a/src/net/rules.rs
+++ b/src/net/rules.rs
@@ -26,6 +26,8 @@
     pub places: Arc<Places>,
     /// By class: the longest that a request may wait.
     pub deadlines: Arc<[Micros]>,
+    /// By class: within what it is in time.
+    pub aims: Arc<[Micros]>,
     pub max_retry_after: Micros,
 }
 
@@ -86,7 +88,13 @@
     const S: Micros = 1_000_000;
 
     fn version(number: Slot) -> Version {
-        Version { number, places: Arc::default(), deadlines: Arc::default(), max_retry_after: 0 }
+        Version {
+            number,
+            places: Arc::default(),
+            deadlines: Arc::default(),
+            aims: Arc::default(),
+            max_retry_after: 0,
+        }
     }
 
     fn rules(unknown: Unknown, next: Option<(Micros, Version)>) -> Rules {
--- a/src/net/settings.rs
+++ b/src/net/settings.rs
@@ -38,6 +38,8 @@
     /// What is done once the version in force was not known for longer than `wait`.
     pub unknown: Unknown,
     pub wait: Micros,
+    /// How a change is watched and undone by itself; not at all without.
+    pub watch: Option<sedgestack_watch::Settings>,
     /// For tests alone: what this limiter's time of day is ahead of the machine's.
     pub clock_offset: i64,
 }
@@ -119,12 +121,33 @@
         intake: s.whole_or("intake", 8..=1_000, 40)? as u32,
         unknown: [Unknown::Serve, Unknown::Refuse][s.word_or_first("unknown", &["serve", "refuse"])?],
         wait: s.span_or("wait", lease)?,
+        watch: s.maybe("watch")?.map(|w| watch(&w)).transpose()?,
         clock_offset: (clock_offset * 1e3) as i64,
     };
     s.done()?;
     Ok(tier)
 }
 
+fn watch(s: &Section<'_>) -> Result<sedgestack_watch::Settings, Fault> {
+    let usual = sedgestack_watch::Settings::default();
+    let seconds = |key, least: u64, default: u32| -> Result<u32, Fault> {
+        let span = s.span_or(key, u64::from(default) * 1_000_000)?;
+        let whole = span % 1_000_000 == 0 && (least..=600).contains(&(span / 1_000_000));
+        let expected = format!("expected whole seconds, from \"{least}s\" to \"600s\"");
+        whole.then_some((span / 1_000_000) as u32).ok_or_else(|| s.fault_at(key, expected))
+    };
+    let settings = sedgestack_watch::Settings {
+        before_s: seconds("before", 10, usual.before_s)?,
+        watch_s: seconds("span", 3, usual.watch_s)?,
+        first_look_s: seconds("first_look", 3, usual.first_look_s)?,
+        false_alarms: s.number_or("false_alarms", 1e-6..=0.5, usual.false_alarms)?,
+        least_drop: s.number_or("least_drop", 0.0..=1.0, usual.least_drop)?,
+    };
+    settings.check().map_err(|e| s.fault(e.to_string()))?;
+    s.done()?;
+    Ok(settings)
+}
+
 fn capture(s: &Section<'_>) -> Result<Capture, Fault> {
     let file = s.text("file")?.to_string();
     if file.is_empty() {
@@ -179,6 +202,23 @@
         assert_eq!(told, "ours.hcl:2:21: tier.clock_offset_ms: expected only where rehearsal = true");
     }
 
+    #[test]
+    fn a_watch_is_off_without_its_block_and_its_spans_are_whole_seconds() {
+        let of = |text: &str| parse(text).map(|s| s.tier.expect("it is on").watch);
+        assert_eq!(of("tier {\n}\n"), Ok(None));
+        assert_eq!(of("tier {\n  watch {\n  }\n}\n"), Ok(Some(sedgestack_watch::Settings::default())));
+        let told = of("tier {\n  watch {\n    before = \"10500ms\"\n  }\n}\n").expect_err("a fault");
+        assert_eq!(
+            told,
+            "ours.hcl:3:14: tier.watch.before: expected whole seconds, from \"10s\" to \"600s\""
+        );
+        let told = of("tier {\n  watch {\n    span = \"4s\"\n  }\n}\n").expect_err("a fault");
+        assert!(
+            told.contains("first_look_s: expected 3 seconds at least, and no more than watch_s"),
+            "{told}"
+        );
+    }
+
     #[test]
     fn a_path_tells_limiters_and_starts_apart() {
         let text =
--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -10,8 +10,9 @@
 use sedgestack::{Class, Micros, Plan};
 use sedgestack_accord as accord;
 use sedgestack_accord::{Assured, Digest, Member, Node, Slot, Standing, Told, Unheard};
-use sedgestack_rules::{differences, Document};
+use sedgestack_rules::{differences, touched, Document};
 use sedgestack_store::Store;
+use sedgestack_watch::MARK as TALLIES;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, oneshot};
@@ -23,6 +24,7 @@
 use super::metrics::COUNTERS;
 use super::peers::Letter;
 use super::settings;
+use super::watch::{Look, Tallied, Watcher};
 use crate::say;
 
 /// Looks at the agreement this often, and when a datagram or a call comes.
@@ -45,9 +47,19 @@
         digest: String,
         everyone: bool,
         except: BTreeSet<Member>,
+        /// Also where the version in force is pinned.
+        force: bool,
     },
-    /// Begins the change back to the document before the one in force.
-    Undo,
+    /// Begins the change back to the last document before the one in force that had other figures.
+    Undo {
+        force: bool,
+    },
+    /// Begins a version of the same figures that is not watched, and that no change is made of where it is pinned.
+    Hold {
+        pinned: bool,
+    },
+    /// Begins a version of the same figures that is pinned no more.
+    Unpin,
     /// Goes on from what is left, where a majority has forgotten.
     Adopt,
 }
@@ -200,7 +212,11 @@
     begun: Option<(Slot, Digest, &'static str, Vec<Member>)>,
     second: Micros,
     taken_in: u32,
+    tallies_in: u32,
     busiest: u32,
+    /// The number of the version that was served last: what a change that comes into force was made of.
+    served: Slot,
+    watcher: Option<Watcher>,
 }
 
 impl Tier {
@@ -228,6 +244,8 @@
         let before = before.and_then(|text| Document::parse("store", text).ok());
         let history = kept.map(|k| k.history.into()).unwrap_or_default();
         let serving = ties.base.document.clone();
+        let (own, all) = (ties.number as Member, ties.members as Member);
+        let watcher = ties.settings.watch.clone().map(|w| Watcher::new(w, own, all));
         let mut tier = Tier {
             node,
             ties,
@@ -241,8 +259,12 @@
             begun: None,
             second: 0,
             taken_in: 0,
+            tallies_in: 0,
             busiest: 0,
+            served: 0,
+            watcher,
         };
+        tier.served = tier.node.in_force().0;
         if let Some(document) = tier.document() {
             tier.serving = document;
         }
@@ -250,7 +272,12 @@
     }
 
     /// Runs until the module has ended.
-    pub async fn run(mut self, mut datagrams: mpsc::Receiver<Vec<u8>>, mut calls: mpsc::Receiver<Asked>) {
+    pub async fn run(
+        mut self,
+        mut datagrams: mpsc::Receiver<Vec<u8>>,
+        mut calls: mpsc::Receiver<Asked>,
+        mut tallied: mpsc::Receiver<Tallied>,
+    ) {
         let mut looks = interval(LOOK_EVERY);
         looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -261,10 +288,12 @@
                     self.go_on();
                     let _ = reply.send(answer);
                 }
+                Some(counted) = tallied.recv() => self.tallied(counted),
                 _ = looks.tick() => {}
                 () = self.ties.module.closed() => return,
             }
             self.go_on();
+            self.watch();
             self.tell().await;
         }
     }
@@ -282,7 +311,7 @@
     fn hear(&mut self, bytes: &[u8]) {
         let now = self.now();
         if now >= self.second + 1_000_000 {
-            (self.second, self.taken_in) = (now, 0);
+            (self.second, self.taken_in, self.tallies_in) = (now, 0, 0);
         }
         if self.taken_in >= self.ties.settings.intake {
             COUNTERS.tier_over.one();
@@ -290,6 +319,9 @@
         }
         self.taken_in += 1;
         self.busiest = self.busiest.max(self.taken_in);
+        if bytes.first() == Some(&TALLIES) {
+            return self.hear_tallies(bytes);
+        }
         COUNTERS.tier_taken_in.one();
         match self.node.hear(now, bytes) {
             Ok(()) => {}
@@ -298,6 +330,50 @@
         }
     }
 
+    /// Takes in a datagram of tallies: a quarter of what is taken in, so that no flood of them holds up a vote.
+    fn hear_tallies(&mut self, bytes: &[u8]) {
+        if self.tallies_in >= self.ties.settings.intake / 4 {
+            COUNTERS.tallies_over.one();
+            return;
+        }
+        self.tallies_in += 1;
+        COUNTERS.tallies_taken_in.one();
+        let heard = self.watcher.as_mut().map(|w| w.hear(bytes));
+        if !matches!(heard, Some(Ok(()))) {
+            COUNTERS.tallies_unheard.one();
+        }
+    }
+
+    /// Takes in what was counted here in a second.
+    fn tallied(&mut self, mut counted: Tallied) {
+        // The second by the tier's clock, to the nearest.
+        let offset = (self.ties.settings.clock_offset as f64 / 1e6).round() as i64;
+        counted.second = counted.second.saturating_add_signed(offset);
+        if let Some(watcher) = &mut self.watcher {
+            watcher.tallied(counted);
+        }
+    }
+
+    /// Tells the others what was counted here, and begins an undo where the tier's sums say so.
+    fn watch(&mut self) {
+        let now = self.now();
+        let Some(watcher) = &mut self.watcher else { return };
+        let Look { letters, undo } = watcher.look(now);
+        for (to, bytes) in letters {
+            COUNTERS.tier_sent.one();
+            let _ = self.ties.peers.try_send(Letter::To(to.into(), bytes));
+        }
+        // Guards against a second undo: only while the document that fell is the one in force. Where another
+        // limiter begins it too, both are changes of one version, and one of them is made.
+        let Some((_, drop)) = undo.filter(|(digest, _)| *digest == self.serving.digest()) else { return };
+        let Some(before) = self.before.clone() else { return };
+        if self.begin(before, BTreeSet::new()).is_ok() {
+            COUNTERS.undone.one();
+            say!("tier: service fell by {drop:.3} beside the other plans: the change is undone by itself");
+            self.go_on();
+        }
+    }
+
     /// Goes on to now: keeps what must be kept, then sends.
     fn go_on(&mut self) {
         let now = self.now();
@@ -374,9 +450,10 @@
                 say!("tier: version {slot} is in force");
                 if digest.is_some_and(|d| d != self.serving.digest()) {
                     if let Some(document) = self.document() {
-                        self.before = Some(std::mem::replace(&mut self.serving, document));
+                        self.goes_over(slot, document);
                     }
                 }
+                self.served = slot;
             }
             Told::Lost { slot } => say!("tier: version {slot}, begun here, was not made"),
             Told::Unanswered { slot, members } => {
@@ -389,6 +466,28 @@
         }
     }
 
+    /// Serves under another document from now on.
+    fn goes_over(&mut self, slot: Slot, document: Document) {
+        let digest = document.digest();
+        if let Some(watcher) = &mut self.watcher {
+            watcher.serves(Some(digest));
+            // One that was not made of the version served here until now is an undo, or others were missed: there
+            // is nothing to hold it against.
+            let (decided, value) = self.node.decided();
+            let made_of_this = document.origin.parent == self.served && decided == slot;
+            if let (true, true, Some(moment)) = (made_of_this, document.origin.watch, value.at()) {
+                let names = touched(&self.serving, &document);
+                let of = self.ties.base.plans.iter().map(|p| names.contains(&p.name)).collect();
+                watcher.begin(slot, digest, moment, of);
+            }
+        }
+        let before = std::mem::replace(&mut self.serving, document);
+        // A hold or a pin changes nothing that could be gone back from.
+        if !before.same_figures(&self.serving) {
+            self.before = Some(before);
+        }
+    }
+
     /// The document in force, where one was ever decided.
     fn document(&self) -> Option<Document> {
         let (_, bytes) = self.node.in_force();
@@ -426,8 +525,17 @@
         match call {
             Call::Status => Ok(self.status()),
             Call::Stage { text } => self.stage(text),
-            Call::Commit { digest, everyone, except } => self.commit(&digest, everyone, &except),
-            Call::Undo => {
+            Call::Commit { digest, everyone, except, force } => {
+                self.unpinned(force)?;
+                self.commit(&digest, everyone, &except)
+            }
+            Call::Hold { pinned } => self.hold(pinned),
+            Call::Unpin if !self.serving.origin.pinned => {
+                Err((409, "the version in force is not pinned".into()))
+            }
+            Call::Unpin => self.hold(false),
+            Call::Undo { force } => {
+                self.unpinned(force)?;
                 let Some(before) = self.before.clone() else {
                     return Err((409, "there is no version before the one in force".into()));
                 };
@@ -444,6 +552,25 @@
         }
     }
 
+    /// Refuses where the version in force is pinned and the change is not forced.
+    fn unpinned(&self, force: bool) -> Result<(), (u16, String)> {
+        if force || !self.serving.origin.pinned {
+            return Ok(());
+        }
+        Err((
+            409,
+            format!("version {} is pinned: unpin it first, or force the change", self.node.in_force().0),
+        ))
+    }
+
+    /// Begins a version of the same figures that is not watched: it ends the watch of the one in force, everywhere
+    /// or nowhere, as it is a version like any other.
+    fn hold(&mut self, pinned: bool) -> Answer {
+        let text = self.serving.held(self.node.in_force().0, pinned);
+        let document = Document::parse("held", &text).map_err(|e| (409, e.to_string()))?;
+        self.begin(document, BTreeSet::new())
+    }
+
     fn stage(&mut self, text: String) -> Answer {
         if text.len() > accord::LONGEST_DOCUMENT {
             return Err((413, format!("{} bytes; at most {} fit", text.len(), accord::LONGEST_DOCUMENT)));
@@ -523,7 +650,8 @@
             "next": next, "begun_here": begun, "waits_for_adopt": self.node.waits(),
             "staged": self.staged.keys().map(ToString::to_string).collect::<Vec<_>>(),
             "history": self.history, "stored": self.ties.store.is_some(),
-            "busiest_second": self.busiest, "text": self.serving.text,
+            "busiest_second": self.busiest, "text": self.serving.text, "pinned": self.serving.origin.pinned,
+            "watch": self.watcher.as_ref().map_or(Value::Null, Watcher::status),
         })
     }
 }
--- /dev/null
+++ b/src/net/watch.rs
@@ -0,0 +1,272 @@
+//! The watch of a change in this limiter: its own tries by plan and second, the tier's sums of them, and whether the
+//! change is to be undone. It does no I/O; the tier's actor sends, hears and begins what follows.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use sedgestack::Micros;
+use sedgestack_accord::{Digest, Member, Slot, Unheard};
+use sedgestack_watch::{Settings, Tallies, Verdict, Watch};
+use serde_json::{json, Value};
+use tokio::sync::mpsc;
+
+/// The tries that ended in one second: by version and plan, how many, and of them those served in time.
+#[derive(Debug, Default, PartialEq)]
+pub struct Tallied {
+    /// Unix seconds by the module's clock.
+    pub second: u64,
+    pub versions: BTreeMap<Slot, Vec<(u32, u32)>>,
+}
+
+/// Counts tries as they end, and tells of each second once it has passed.
+pub struct Tally {
+    now: Tallied,
+    plans: usize,
+    to: mpsc::Sender<Tallied>,
+}
+
+impl Tally {
+    /// Counts tries of so many plans.
+    pub fn new(plans: usize, to: mpsc::Sender<Tallied>) -> Tally {
+        Tally { now: Tallied::default(), plans, to }
+    }
+
+    /// A try on a plan, by its place in the configuration, has ended.
+    pub fn ended(&mut self, version: Slot, plan: usize, in_time: bool) {
+        let plans = self.now.versions.entry(version).or_insert_with(|| vec![(0, 0); self.plans]);
+        if let Some((tries, served)) = plans.get_mut(plan) {
+            *tries += 1;
+            *served += u32::from(in_time);
+        }
+    }
+
+    /// Goes on to now. Late or not at all is what the watch expects of a second: a full mailbox drops it.
+    pub fn turn(&mut self, now: Micros) {
+        let second = now / 1_000_000;
+        if second != self.now.second {
+            let passed = std::mem::replace(&mut self.now, Tallied { second, versions: BTreeMap::new() });
+            if passed.second > 0 {
+                let _ = self.to.try_send(passed);
+            }
+        }
+    }
+}
+
+/// One change under watch.
+struct Watched {
+    version: Slot,
+    digest: Digest,
+    /// By plan: whether the change touches it.
+    touched: Vec<bool>,
+    tallies: Tallies,
+    watch: Watch,
+    verdict: Verdict,
+    /// Another document is in force by now.
+    replaced: bool,
+    /// Limiters in the latest sum, and seconds judged before and after the change.
+    heard: Member,
+    judged: (usize, usize),
+}
+
+/// What a look came to.
+#[derive(Default)]
+pub struct Look {
+    /// Datagrams to send.
+    pub letters: Vec<(Member, Vec<u8>)>,
+    /// The document that is to be undone, and by what share the plans that it touches fell beside the others.
+    pub undo: Option<(Digest, f64)>,
+}
+
+/// The watch of this limiter.
+pub struct Watcher {
+    settings: Settings,
+    member: Member,
+    members: Member,
+    /// What was counted here lately.
+    past: VecDeque<Tallied>,
+    at: Option<Watched>,
+    stepped: u64,
+}
+
+impl Watcher {
+    /// A watch over a tier, by settings that were checked.
+    pub fn new(settings: Settings, member: Member, members: Member) -> Watcher {
+        Watcher { settings, member, members, past: VecDeque::new(), at: None, stepped: 0 }
+    }
+
+    /// A version has come into force at `moment` that touches these plans.
+    pub fn begin(&mut self, version: Slot, digest: Digest, moment: Micros, touched: Vec<bool>) {
+        let spans = (self.settings.before_s, self.settings.watch_s);
+        let Ok(watch) = Watch::new(self.settings.clone()) else { return };
+        let mut watched = Watched {
+            version,
+            digest,
+            touched,
+            tallies: Tallies::new((self.member, self.members), version, moment, spans),
+            watch,
+            verdict: Verdict::Goes,
+            replaced: false,
+            heard: 0,
+            judged: (0, 0),
+        };
+        self.past.iter().for_each(|t| watched.count(t));
+        self.at = Some(watched);
+    }
+
+    /// Another document than `digest` is watched no more.
+    pub fn serves(&mut self, digest: Option<Digest>) {
+        if let Some(watched) = self.at.as_mut().filter(|w| Some(w.digest) != digest) {
+            watched.replaced = true;
+        }
+    }
+
+    /// Takes in what was counted here in a second of the tier's clock.
+    pub fn tallied(&mut self, tallied: Tallied) {
+        if let Some(watched) = self.open() {
+            watched.count(&tallied);
+        }
+        self.past.push_back(tallied);
+        while self.past.len() as u64 > u64::from(self.settings.before_s) + 2 {
+            self.past.pop_front();
+        }
+    }
+
+    /// Takes a datagram in.
+    ///
+    /// # Errors
+    /// Where it is damaged, or of no version that is watched here.
+    pub fn hear(&mut self, bytes: &[u8]) -> Result<(), Unheard> {
+        self.open().map_or(Err(Unheard::Stranger), |watched| watched.tallies.hear(bytes))
+    }
+
+    fn open(&mut self) -> Option<&mut Watched> {
+        self.at.as_mut().filter(|w| !w.replaced)
+    }
+
+    /// Looks once a second.
+    pub fn look(&mut self, now: Micros) -> Look {
+        let second = now / 1_000_000;
+        if second == self.stepped {
+            return Look::default();
+        }
+        self.stepped = second;
+        let Some(watched) = self.open() else { return Look::default() };
+        if watched.verdict != Verdict::Stands {
+            if let Some(tree) = watched.tallies.judges() {
+                let (passed, before, after, heard) = watched.tallies.gathered(tree, second);
+                watched.verdict = watched.watch.look(passed, &before, &after);
+                (watched.heard, watched.judged) = (heard, (before.len(), after.len()));
+            }
+        }
+        let undo = match watched.verdict {
+            Verdict::Undo { drop, .. } => Some((watched.digest, drop)),
+            Verdict::Goes | Verdict::Stands => None,
+        };
+        Look { letters: watched.tallies.step(second), undo }
+    }
+
+    /// What operators are told of the latest watch; null where there was none.
+    pub fn status(&self) -> Value {
+        let Some(w) = &self.at else { return Value::Null };
+        let state = match w.verdict {
+            Verdict::Undo { .. } => "undo",
+            _ if w.replaced => "replaced",
+            Verdict::Goes => "watched",
+            Verdict::Stands => "stands",
+        };
+        let (drop, after_s) = match w.verdict {
+            Verdict::Undo { drop, at_s } => (Some(drop), Some(at_s)),
+            _ => (None, None),
+        };
+        json!({
+            "version": w.version, "state": state, "judges": w.tallies.judges().is_some(), "drop": drop,
+            "after_s": after_s, "limiters": w.heard, "seconds_before": w.judged.0, "seconds_after": w.judged.1,
+        })
+    }
+}
+
+impl Watched {
+    /// Before the change the tries under the versions before it count, after it those under it: not those that a
+    /// version took and the next one saw end.
+    fn count(&mut self, tallied: &Tallied) {
+        let Some(after) = self.tallies.place(tallied.second) else { return };
+        let (mut touched, mut control) = ((0, 0), (0, 0));
+        let of = tallied.versions.iter().filter(|(version, _)| (**version >= self.version) == after);
+        for (plan, (tries, served)) in of.flat_map(|(_, plans)| plans.iter().enumerate()) {
+            let is_touched = self.touched.get(plan).copied().unwrap_or(false);
+            let sum = if is_touched { &mut touched } else { &mut control };
+            (sum.0, sum.1) = (sum.0 + tries, sum.1 + served);
+        }
+        self.tallies.own(tallied.second, touched, control);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn tallied(second: u64, version: Slot, plans: &[(u32, u32)]) -> Tallied {
+        Tallied { second, versions: [(version, plans.to_vec())].into() }
+    }
+
+    /// A tier of one: it judges itself.
+    fn alone() -> Watcher {
+        Watcher::new(Settings::default(), 0, 1)
+    }
+
+    fn run(watcher: &mut Watcher, seconds: std::ops::Range<u64>, version: Slot, share: (u32, u32)) -> u32 {
+        let mut undone = 0;
+        for second in seconds {
+            watcher.tallied(tallied(second, version, &[(20, share.0), (40, share.1)]));
+            undone += u32::from(watcher.look((second + 1) * 1_000_000).undo.is_some());
+        }
+        undone
+    }
+
+    #[test]
+    fn a_bad_change_is_undone_and_its_replacement_is_not_watched() {
+        let (mut watcher, bad) = (alone(), Digest([1; 16]));
+        assert_eq!(run(&mut watcher, 80..100, 0, (20, 40)), 0);
+        watcher.begin(1, bad, 100_000_000, vec![true, false]);
+        assert!(run(&mut watcher, 100..112, 1, (4, 40)) > 0, "{}", watcher.status());
+        assert_eq!(watcher.status()["state"], "undo");
+        watcher.serves(Some(Digest([2; 16])));
+        assert_eq!(run(&mut watcher, 112..140, 2, (4, 40)), 0);
+    }
+
+    #[test]
+    fn a_good_change_stands_and_is_told_so() {
+        let mut watcher = alone();
+        run(&mut watcher, 80..100, 0, (19, 38));
+        watcher.begin(1, Digest([1; 16]), 100_000_000, vec![true, false]);
+        assert_eq!(run(&mut watcher, 100..140, 1, (19, 38)), 0);
+        assert_eq!(
+            (watcher.status()["state"].as_str(), &watcher.status()["drop"]),
+            (Some("stands"), &Value::Null)
+        );
+    }
+
+    #[test]
+    fn a_void_version_on_the_way_goes_on_with_the_watch() {
+        let mut watcher = alone();
+        run(&mut watcher, 80..100, 0, (20, 40));
+        watcher.begin(1, Digest([1; 16]), 100_000_000, vec![true, false]);
+        run(&mut watcher, 100..103, 1, (4, 40));
+        watcher.serves(Some(Digest([1; 16])));
+        assert!(run(&mut watcher, 103..115, 2, (4, 40)) > 0, "{}", watcher.status());
+    }
+
+    #[test]
+    fn seconds_are_told_once_they_have_passed() {
+        let (to, mut told) = mpsc::channel(4);
+        let mut tally = Tally::new(2, to);
+        tally.turn(5_000_000);
+        tally.ended(1, 0, true);
+        tally.ended(1, 1, false);
+        tally.ended(2, 1, true);
+        tally.turn(5_900_000);
+        assert!(told.try_recv().is_err());
+        tally.turn(6_000_000);
+        let versions = [(1, vec![(1, 1), (1, 0)]), (2, vec![(0, 0), (1, 1)])].into();
+        assert_eq!(told.try_recv().ok(), Some(Tallied { second: 5, versions }));
+    }
+}
