--- a/crates/capture/src/file.rs
+++ b/crates/capture/src/file.rs
@@ -54,6 +54,21 @@
     dropped: u64,
 }
 
+/// Versions of the rules of a block's records, behind the block where any has one: how many records in a row were
+/// taken under each.
+type Rules = Vec<(u32, Option<u64>)>;
+
+fn rules_of(records: &[Record]) -> Rules {
+    let mut runs = Rules::new();
+    for record in records {
+        match runs.last_mut() {
+            Some((count, rules)) if *rules == record.rules => *count += 1,
+            _ => runs.push((1, record.rules)),
+        }
+    }
+    runs
+}
+
 /// Writes a capture.
 pub struct Writer<W: Write> {
     out: W,
@@ -133,7 +148,11 @@
             block.steps.push(record.at.wrapping_sub(before) as i64);
             before = std::mem::take(&mut record.at);
         }
-        let raw = postcard::to_stdvec(&block).map_err(io::Error::other)?;
+        let mut raw = postcard::to_stdvec(&block).map_err(io::Error::other)?;
+        let rules = rules_of(&block.records);
+        if rules.iter().any(|(_, version)| version.is_some()) {
+            raw.extend(postcard::to_stdvec(&rules).map_err(io::Error::other)?);
+        }
         let packed = zstd::bulk::compress(&raw, LEVEL)?;
         let bytes = frame(BLOCK, &packed, raw.len());
         self.written += bytes.len() as u64;
@@ -232,7 +251,20 @@
         return Err(damaged("a block's checksum differs"));
     }
     let plain = zstd::bulk::decompress(payload, raw).map_err(|e| damaged(&e.to_string()))?;
-    let mut block: Block = postcard::from_bytes(&plain).map_err(|e| damaged(&e.to_string()))?;
+    let (mut block, rest): (Block, _) =
+        postcard::take_from_bytes(&plain).map_err(|e| damaged(&e.to_string()))?;
+    if !rest.is_empty() {
+        let rules: Rules = postcard::from_bytes(rest).map_err(|e| damaged(&e.to_string()))?;
+        let each =
+            rules.into_iter().flat_map(|(count, version)| std::iter::repeat_n(version, count as usize));
+        let mut records = block.records.iter_mut();
+        for (record, version) in records.by_ref().zip(each) {
+            record.rules = version;
+        }
+        if records.next().is_some() {
+            return Err(damaged("a block has fewer versions of the rules than records"));
+        }
+    }
     if block.steps.len() != block.records.len() {
         return Err(damaged("a block has not as many times as records"));
     }
--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -85,6 +85,10 @@
     pub counter: CounterState,
     /// Place in [`Header::merged_from`] of the capture it came from; 0 in a limiter's own.
     pub source: u16,
+    /// The version of the rules that it was taken under, where limiters agree on versions. Blocks keep it beside
+    /// their records, so that files without versions are as they were.
+    #[serde(skip)]
+    pub rules: Option<u64>,
 }
 
 /// A capture in memory.
--- a/crates/capture/tests/captures.rs
+++ b/crates/capture/tests/captures.rs
@@ -37,6 +37,7 @@
         attempts: 1,
         counter: CounterState::Answering,
         source: 0,
+        rules: None,
     }
 }
 
@@ -56,6 +57,17 @@
     capture.records.iter().map(|r| Record { destination: None, ..r.clone() }).collect()
 }
 
+#[test]
+fn versions_of_the_rules_are_kept_and_files_without_them_are_as_before() {
+    let mut records = many(2_500);
+    let bare = file(1, &records);
+    records.iter_mut().enumerate().for_each(|(n, r)| r.rules = (n >= 700).then_some(n as u64 / 900));
+    let told = file(1, &records);
+    assert_eq!(plain(&read("a", &told[..]).expect("a capture")), records);
+    assert!(read("b", &bare[..]).expect("a capture").records.iter().all(|r| r.rules.is_none()));
+    assert!(told.len() < bare.len() + 300, "{} bytes, {} without", told.len(), bare.len());
+}
+
 #[test]
 fn what_is_written_is_read() {
     let records = many(3_000);
--- a/crates/plan/src/synth.rs
+++ b/crates/plan/src/synth.rs
@@ -66,5 +66,6 @@
         attempts: s.attempts.min(u8::MAX.into()) as u8,
         counter: if s.counter_answers { CounterState::Answering } else { CounterState::Silent },
         source: 0,
+        rules: None,
     }
 }
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -12,6 +12,20 @@
 /// Whether lines are JSON.
 static JSON: AtomicBool = AtomicBool::new(false);
 
+/// The version of the rules that JSON lines name.
+static RULES: AtomicU64 = AtomicU64::new(NO_RULES);
+const NO_RULES: u64 = u64::MAX;
+
+/// JSON lines name this version of the rules from now on.
+pub fn under(version: u64) {
+    RULES.store(version, Relaxed);
+}
+
+/// The version of the rules that a line names.
+pub fn rules() -> Option<u64> {
+    Some(RULES.load(Relaxed)).filter(|v| *v != NO_RULES && JSON.load(Relaxed))
+}
+
 /// How lines look.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -72,7 +86,10 @@
             if left_out > 0 {
                 tracing::warn!(left_out, "lines left out");
             }
-            tracing::info!($($words)*);
+            match $crate::net::log::rules() {
+                Some(rules) => tracing::info!(rules, $($words)*),
+                None => tracing::info!($($words)*),
+            }
         }
     };
 }
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use sedgestack::{
-    Action, AttemptEnd, BackendId, BackendState, Event, Gateway, Listed, Micros, Outcome, Request, RequestId,
+    Action, AttemptEnd, BackendId, BackendState, Event, Gateway, Listed, Micros, Outcome, Places, Request,
+    RequestId,
 };
 use sedgestack_capture::{CounterState, Outcome as CapturedOutcome, Record};
 use tokio::sync::{mpsc, oneshot};
@@ -20,6 +21,7 @@
 use super::counter;
 use super::destination::{Fleet, Handle, Order, RouteStep};
 use super::figures::Figures;
+use super::log;
 use super::mail::{
     Answer, Control, Counted, Forward, Mail, NewRules, Origin, Reply, StepEnd, Taken, ToldRules,
 };
@@ -37,6 +39,9 @@
 /// Servers come to be avoided, or no longer, between changes of the list: the figures hear of it this often.
 const MEMBERS_EVERY: Micros = 250_000;
 
+/// What old versions of the rules brought is forgotten this often, as far as nothing goes by it.
+const RULES_TIDIED_EVERY: Micros = 1_000_000;
+
 /// What a client is told to wait that comes while the version in force is not known: a beat or two.
 const RULES_UNKNOWN_WAIT: Micros = 500_000;
 
@@ -111,6 +116,8 @@
     members_changed: bool,
     /// The versions of the rules, once the tier has told of them.
     rules: Option<Rules>,
+    /// When places of old versions were last looked for.
+    tidied_at: Micros,
     /// When the figures were last told of the servers that the decisions avoid.
     members_told: Micros,
 }
@@ -136,6 +143,7 @@
             cordoned,
             members_changed: true,
             members_told: 0,
+            tidied_at: 0,
             rules: None,
         }
     }
@@ -272,6 +280,12 @@
         let current = self.version(told.current);
         let next = told.next.and_then(|(from, rules)| Some((from, self.version(rules)?)));
         let (Some(current), Some((unknown, wait))) = (current, self.ties.rules) else { return };
+        let held: Vec<&Places> = next.iter().map(|(_, v)| &*v.places).chain([&*current.places]).collect();
+        let now = self.ties.clock.now();
+        if now >= self.tidied_at + RULES_TIDIED_EVERY {
+            self.tidied_at = now;
+            self.gateway.forget_versions(&held);
+        }
         let word = Word { current, next, until: told.until };
         match &mut self.rules {
             Some(rules) => rules.told(word),
@@ -341,7 +355,8 @@
             if let Some(recorder) = &self.ties.recorder {
                 let told = (taken.request, taken.origin);
                 let key = taken.forward.key.as_ref().map(|k| k.as_bytes());
-                recorder.record(self.entry(&told, key, CapturedOutcome::TurnedAway, None, 0));
+                let record = self.told_record(&told, key, CapturedOutcome::TurnedAway, 0, None);
+                recorder.record(Entry { record, destination: None });
             }
             let _ = taken.reply.send((Reply::Busy { retry_after: 0 }, None));
             return;
@@ -464,7 +479,10 @@
             return;
         }
         let version = self.rules.as_mut().and_then(|r| r.at(now)).map(|v| v.number);
-        version.inspect(|v| self.ties.figures.rules(*v));
+        if let Some(version) = version {
+            self.ties.figures.rules(version);
+            log::under(version);
+        }
         let known = !versions || version.is_some();
         let serves = self.destinations.values().any(|(_, listed)| listed.state == BackendState::InService);
         self.ties.ready.store(known && serves, Relaxed);
@@ -566,21 +584,22 @@
         let step = step.map_or_else(|| open.steps.last(), |n| open.steps.get(n));
         let destination = step.and_then(|s| s.as_ref()).map(|handle| handle.id.clone());
         let attempts = open.steps.len();
-        recorder.record(self.entry(told, key, outcome, destination, attempts));
+        let rules = open.version.map(|u| u.number);
+        recorder.record(Entry { record: self.told_record(told, key, outcome, attempts, rules), destination });
     }
 
-    fn entry(
+    fn told_record(
         &self,
         told: &(Request, Origin),
         key: Option<&[u8]>,
         outcome: CapturedOutcome,
-        destination: Option<BackendId>,
         attempts: usize,
-    ) -> Entry {
+        rules: Option<u64>,
+    ) -> Record {
         let (request, origin) = told;
         let hash = self.ties.recorder.as_ref().expect("it is asked for where there is one").hash;
         let clip = |n: u32| n.min(u16::MAX.into()) as u16;
-        let record = Record {
+        Record {
             at: self.ties.clock.at(origin.came),
             class: clip(request.class as u32),
             plan: clip(request.plan as u32),
@@ -601,7 +620,7 @@
                 Some(false) => CounterState::Silent,
             },
             source: 0,
-        };
-        Entry { record, destination }
+            rules,
+        }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -198,6 +198,11 @@
     /// Backends that an operator took out: nothing new goes there until they are let back, whatever the list
     /// says.
     pub(crate) cordoned: BTreeSet<BackendId>,
+    /// Classes and plans of the settings: the first places, which stay.
+    pub(crate) configured: Option<(usize, usize)>,
+    /// Places behind these that no version, request or customer goes by.
+    pub(crate) spare_classes: BTreeSet<usize>,
+    pub(crate) spare_plans: BTreeSet<usize>,
 }
 
 impl Gateway {
@@ -230,28 +235,96 @@
             let known = self.settings.plans.iter().any(|k| k.name == plan.name);
             known.then_some(()).ok_or_else(|| SettingsError::Unlike(format!("plan {}", plan.name)))?;
         }
+        self.configured.get_or_insert((self.settings.classes.len(), self.settings.plans.len()));
         let mut places = Places::default();
         for class in classes {
             let same = self.settings.classes.iter().position(|k| k == class);
             places.classes.push(same.unwrap_or_else(|| {
                 let newest = |k: &Class| k.name == class.name;
                 let old = self.settings.classes.iter().rposition(newest).unwrap_or(0);
-                self.settings.classes.push(class.clone());
-                self.tier_of.push(self.tier_of[old]);
-                self.expected.push(self.expected[old]);
-                self.base.push(self.base[old]);
-                self.settings.classes.len() - 1
+                let figures = (self.tier_of[old], self.expected[old], self.base[old]);
+                let place = self.spare_classes.pop_first().unwrap_or(self.settings.classes.len());
+                put(&mut self.settings.classes, place, class.clone());
+                put(&mut self.tier_of, place, figures.0);
+                put(&mut self.expected, place, figures.1);
+                put(&mut self.base, place, figures.2);
+                place
             }));
         }
         for plan in plans {
             let same = self.settings.plans.iter().position(|k| k == plan);
             places.plans.push(same.unwrap_or_else(|| {
-                self.settings.plans.push(plan.clone());
-                self.settings.plans.len() - 1
+                let place = self.spare_plans.pop_first().unwrap_or(self.settings.plans.len());
+                put(&mut self.settings.plans, place, plan.clone());
+                place
             }));
         }
+        places.classes.iter().for_each(|place| {
+            self.spare_classes.remove(place);
+        });
+        places.plans.iter().for_each(|place| {
+            self.spare_plans.remove(place);
+        });
         Ok(places)
     }
+
+    /// Forgets what versions other than those `held` brought, as far as no request and no customer goes by it any
+    /// more; whether all of it could be.
+    pub fn forget_versions(&mut self, held: &[&Places]) -> bool {
+        let Some((classes, plans)) = self.configured else { return true };
+        let old = |all: usize, own: usize, held: &mut dyn Iterator<Item = usize>| -> BTreeSet<usize> {
+            let mut old: BTreeSet<usize> = (own..all).collect();
+            held.for_each(|place| {
+                old.remove(&place);
+            });
+            old
+        };
+        let (all_classes, all_plans) = (self.settings.classes.len(), self.settings.plans.len());
+        let held_classes = &mut held.iter().flat_map(|p| p.classes.iter().copied());
+        let held_plans = &mut held.iter().flat_map(|p| p.plans.iter().copied());
+        let (mut old_classes, mut old_plans) =
+            (old(all_classes, classes, held_classes), old(all_plans, plans, held_plans));
+        if old_classes.is_empty() && old_plans.is_empty() {
+            return true;
+        }
+        let before = (old_classes.len(), old_plans.len());
+        self.requests.values().for_each(|r| {
+            old_classes.remove(&r.class);
+        });
+        self.flights.values().for_each(|f| {
+            old_classes.remove(&f.class);
+        });
+        self.customers.values().for_each(|c| {
+            old_plans.remove(&c.plan);
+        });
+        let all = before == (old_classes.len(), old_plans.len());
+        // The last places go; those before places in use wait for the next version. A class that nothing goes by
+        // has no say in how slow a backend may be.
+        (self.spare_classes, self.spare_plans) = (old_classes, old_plans);
+        while self.spare_classes.last().is_some_and(|last| last + 1 == self.settings.classes.len()) {
+            self.spare_classes.pop_last();
+            drop((self.settings.classes.pop(), self.tier_of.pop(), self.expected.pop(), self.base.pop()));
+        }
+        while self.spare_plans.last().is_some_and(|last| last + 1 == self.settings.plans.len()) {
+            self.spare_plans.pop_last();
+            self.settings.plans.pop();
+        }
+        self.spare_classes.iter().for_each(|place| self.settings.classes[*place].aim = Micros::MAX);
+        all
+    }
+
+    /// How many places classes and plans have now, those of the settings among them.
+    pub fn places(&self) -> (usize, usize) {
+        (self.settings.classes.len(), self.settings.plans.len())
+    }
+}
+
+/// Puts a value at a place, which is there or the next one.
+fn put<T>(all: &mut Vec<T>, place: usize, value: T) {
+    match all.get_mut(place) {
+        Some(there) => *there = value,
+        None => all.push(value),
+    }
 }
 
 /// Rejects settings that cannot be meant.
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -81,3 +81,39 @@
     let actions = gateway.handle(START + 40 * MS, &[end]);
     assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, .. })), "{actions:?}");
 }
+
+/// Fifty versions, each with another rate and another aim: what they brought goes once nothing goes by it, and a
+/// request that is out keeps its own.
+#[test]
+fn old_versions_are_forgotten_once_their_last_request_has_ended() {
+    let settings = Settings { counter_timeout: None, ..settings() };
+    let mut gateway = Gateway::new(settings.clone(), 1).expect("usable settings");
+    let backends = (0..4).map(|n| entry(&format!("b{n}"), BackendState::InService)).collect();
+    gateway.handle(START, &[list(1, true, backends)]);
+    let (mut classes, mut plans) = (settings.classes.clone(), settings.plans.clone());
+    (classes[0].aim, plans[1].rate) = (classes[0].aim + 1, 30.0);
+    let first = gateway.adopt(&classes, &plans).expect("a version");
+    gateway.handle(START, &[request(1, first.classes[0], first.plans[1])]);
+    let (mut held, mut most) = (first.clone(), 0);
+    for n in 0..50 {
+        (classes[0].aim, plans[1].rate) = (classes[0].aim + 1, 31.0 + f64::from(n));
+        let next = gateway.adopt(&classes, &plans).expect("a version");
+        assert!(!held.classes[..1].contains(&next.classes[0]), "what is held keeps its place");
+        assert!(next.classes[0] != first.classes[0] && next.plans[1] != first.plans[1]);
+        gateway.forget_versions(&[&next]);
+        most = most.max(gateway.places().0);
+        held = next;
+    }
+    let configured = (settings.classes.len(), settings.plans.len());
+    assert!(most <= configured.0 + 3, "{most}");
+    // The first version's request ends and its customer moves on: all that is left is the version in force.
+    gateway.handle(START + 10 * MS, &[Event::AttemptEnded(over(1, 0, Outcome::Ok, true))]);
+    gateway.handle(START + 20 * MS, &[request(2, held.classes[0], held.plans[1])]);
+    gateway.handle(START + 30 * MS, &[Event::AttemptEnded(over(2, 0, Outcome::Ok, true))]);
+    assert!(gateway.forget_versions(&[&held]));
+    let back = gateway.adopt(&settings.classes, &settings.plans).expect("the configuration");
+    gateway.handle(START + 40 * MS, &[request(3, back.classes[0], back.plans[1])]);
+    gateway.handle(START + 50 * MS, &[Event::AttemptEnded(over(3, 0, Outcome::Ok, true))]);
+    assert!(gateway.forget_versions(&[&back]));
+    assert_eq!(gateway.places(), configured);
+}
