Rehearse a ruinous change with and without its undo, and draw one in every fourth timeline

Need: what the undo saves was not measured, and no drawn timeline put faults round an undo by itself.

--- a/crates/kit/src/faults.rs
+++ b/crates/kit/src/faults.rs
@@ -76,9 +76,15 @@
 fn told(played: &Played) -> String {
     let found = &played.found;
     let holds = if played.holds() { "held" } else { "BROKEN" };
+    let ruin = played.ruin.as_ref().map_or(String::new(), |r| {
+        let undone = r
+            .undone_after_ms
+            .map_or("not undone".into(), |ms| format!("undone after {:.1} s", ms as f64 / 1e3));
+        format!("; ruin {undone}: {} of {} tries lost, worth {:.0}", r.lost, r.tries, r.worth_lost)
+    });
     format!(
         "{holds}: {} answers, {} versions; {} changes begun, {} refused at once, {} made; largest mixing {} us; {} rules \
-         broken, {} operators untold{}",
+         broken, {} operators untold{}{ruin}",
         found.answers,
         found.versions,
         played.begun,
@@ -122,6 +128,7 @@
     results.sort_by_key(|(seed, _)| *seed);
     let mut failed = Vec::new();
     let (mut answers, mut begun, mut made, mut mixing) = (0, 0, 0, 0);
+    let (mut ruins, mut undone) = (0, 0);
     let mut unplayed = Vec::new();
     for (seed, played) in &results {
         match played {
@@ -129,6 +136,8 @@
             Ok(p) => {
                 answers += p.found.answers;
                 (begun, made) = (begun + p.begun, made + p.made);
+                ruins += u32::from(p.ruin.is_some());
+                undone += u32::from(p.ruin.as_ref().is_some_and(|r| r.undone_after_ms.is_some()));
                 mixing = mixing.max(p.found.largest_mixing_us);
                 if !p.holds() {
                     failed.push((*seed, p));
@@ -155,7 +164,8 @@
         println!(
             "{}",
             json!({"seeds": results.len(), "limiters": arguments.limiters, "answers": answers, "begun": begun,
-                   "made": made, "largest_mixing_us": mixing, "failed": failed})
+                   "made": made, "ruins": ruins, "ruins_ended": undone, "largest_mixing_us": mixing,
+                   "failed": failed})
         );
     } else {
         for ((seed, played), steps) in failed.iter().zip(&shortest) {
@@ -165,7 +175,7 @@
         }
         println!(
             "{} timelines with {} limiters: {} held, {} failed; {answers} answers, {begun} changes begun, {made} versions \
-             made, largest mixing {mixing} us",
+             made; {ruins} ruins made, {undone} ended; largest mixing {mixing} us",
             results.len(),
             arguments.limiters,
             results.len() - failed.len() - unplayed.len(),
--- a/crates/kit/src/tier.rs
+++ b/crates/kit/src/tier.rs
@@ -99,7 +99,7 @@
             format!("version {}: {} s judged", watch["version"], watch["seconds_after"])
         }
         ("watched", false) => format!("version {}: others judge it", watch["version"]),
-        ("undo", _) => format!(
+        ("undo" | "undone", _) => format!(
             "version {}: undone, fell by {:.2}",
             watch["version"],
             watch["drop"].as_f64().unwrap_or(0.0)
--- a/crates/rehearse/src/tier/judge.rs
+++ b/crates/rehearse/src/tier/judge.rs
@@ -17,6 +17,8 @@
     pub limiter: u32,
     pub sent: Micros,
     pub answered: Micros,
+    /// Its plan's place in the fleet file.
+    pub plan: u32,
     pub status: u16,
     /// The version that the answer names; refusals of a limiter that does not know one name none.
     pub version: Option<u64>,
@@ -33,6 +35,8 @@
     OutOfForce { seen: Seen, by_us: u64 },
     /// A served answer names no version.
     Unversioned { seen: Seen },
+    /// A document that was undone by itself came back, and nobody had asked for it.
+    UndoneTwice { digest: String, made: usize },
 }
 
 /// What was found.
@@ -87,13 +91,51 @@
     found
 }
 
+/// What a change that ruins a plan cost until it was undone, or until the record ends.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Ruin {
+    /// From the change's moment to the undo's; none where it was not undone.
+    pub undone_after_ms: Option<u64>,
+    /// Requests on the plan that were sent meanwhile, and of them those that were not served.
+    pub tries: usize,
+    pub lost: usize,
+    /// Worth of these: one of the first class each, by the plan's price.
+    pub worth_lost: f64,
+}
+
+/// What the ruin of a plan by a document cost; none where that document was never made.
+///
+/// # Errors
+/// Where the document was made twice: what was undone by itself came back.
+pub fn ruin(
+    seen: &[Seen],
+    history: &Value,
+    digest: &str,
+    plan: u32,
+    worth: f64,
+) -> Result<Option<Ruin>, Broken> {
+    let made: Vec<&Value> = history.as_array().into_iter().flatten().filter(|p| p["void"] == false).collect();
+    let places: Vec<usize> = (0..made.len()).filter(|n| made[*n]["digest"] == digest).collect();
+    let Some(first) = places.first() else { return Ok(None) };
+    if places.len() > 1 {
+        return Err(Broken::UndoneTwice { digest: digest.into(), made: places.len() });
+    }
+    let at = |n: usize| made.get(n).and_then(|p| p["at"].as_u64());
+    let (from, until) = (at(*first).unwrap_or(0), at(first + 1));
+    let within = |s: &&Seen| s.plan == plan && s.sent >= from && until.is_none_or(|u| s.sent < u);
+    let tries: Vec<&Seen> = seen.iter().filter(within).collect();
+    let lost = tries.iter().filter(|s| s.status != 200).count();
+    let undone_after_ms = until.map(|u| u.saturating_sub(from) / 1_000);
+    Ok(Some(Ruin { undone_after_ms, tries: tries.len(), lost, worth_lost: lost as f64 * worth }))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
     use serde_json::json;
 
     fn seen(sent: Micros, version: u64) -> Seen {
-        Seen { limiter: 0, sent, answered: sent + 10, status: 200, version: Some(version) }
+        Seen { limiter: 0, sent, answered: sent + 10, plan: 2, status: 200, version: Some(version) }
     }
 
     fn history() -> Value {
@@ -116,6 +158,19 @@
         assert!(matches!(judge(&[bare], &[history()], 100).broken[..], [Broken::Unversioned { .. }]));
     }
 
+    #[test]
+    fn a_ruin_costs_what_was_refused_until_its_undo_and_comes_once() {
+        let refused = |sent, version| Seen { status: 429, ..seen(sent, version) };
+        let all = [seen(900, 0), refused(1_100, 1), refused(1_500, 1), seen(1_600, 1), refused(2_100, 3)];
+        let found = ruin(&all, &history(), "a", 2, 1.5);
+        let cost = Ruin { undone_after_ms: Some(1), tries: 3, lost: 2, worth_lost: 3.0 };
+        assert_eq!(found, Ok(Some(cost)));
+        assert_eq!(ruin(&all, &history(), "z", 2, 1.5), Ok(None));
+        let mut twice = history();
+        twice[2]["digest"] = json!("a");
+        assert!(matches!(ruin(&all, &twice, "a", 2, 1.5), Err(Broken::UndoneTwice { made: 2, .. })));
+    }
+
     #[test]
     fn two_histories_are_found() {
         let mut other = history();
--- a/crates/rehearse/src/tier/mod.rs
+++ b/crates/rehearse/src/tier/mod.rs
@@ -479,6 +479,16 @@
         judge::judge(&locked(&self.seen), &histories, bound)
     }
 
+    /// What the ruin of a plan by a document cost: see [`judge::ruin`].
+    ///
+    /// # Errors
+    /// Where what was undone by itself came back.
+    pub fn ruin(&self, digest: &str, plan: u32) -> Result<Option<judge::Ruin>, judge::Broken> {
+        let worth = self.fleet.classes[0].worth * self.fleet.plans[plan as usize].price;
+        let history = self.status(0).map(|s| s["history"].clone()).unwrap_or_default();
+        judge::ruin(&locked(&self.seen), &history, digest, plan, worth)
+    }
+
     // == Faults =====================================================================================
 
     fn signal(&self, member: u32, signal: Signal) {
@@ -682,6 +692,7 @@
 /// A request that was sent and not answered yet.
 pub struct Pending {
     member: u32,
+    plan: u32,
     sent: judge::Micros,
     stream: TcpStream,
 }
@@ -694,7 +705,8 @@
     fn record(self, seen: &Mutex<Vec<Seen>>) -> Asked {
         let (status, head, _) = answer(self.stream)?;
         let version = head.lines().find_map(|l| l.strip_prefix("x-rules:")?.trim().parse().ok());
-        let one = Seen { limiter: self.member, sent: self.sent, answered: unix_now(), status, version };
+        let (limiter, plan) = (self.member, self.plan);
+        let one = Seen { limiter, sent: self.sent, answered: unix_now(), plan, status, version };
         locked(seen).push(one.clone());
         Some(one)
     }
@@ -704,12 +716,13 @@
     static NEXT: AtomicU64 = AtomicU64::new(1);
     let number = NEXT.fetch_add(1, Relaxed);
     let class = &fleet.classes[0].name;
-    let plan = &fleet.plans[(number % fleet.plans.len() as u64) as usize].name;
+    let place = number % fleet.plans.len() as u64;
+    let plan = &fleet.plans[place as usize].name;
     let request = format!(
         "GET /{class}/{:016x} HTTP/1.1\r\nHost: n\r\nX-Request-Id: {number:016x}\r\nX-Class: {class}\r\n\
          X-Contract: {plan}\r\nX-Deadline-Ms: 1000\r\nX-Metering: units=1,spread=1,first={member}\r\n\r\n",
         number % CUSTOMERS
     );
     let at = unix_now();
-    Some(Pending { member, sent: at, stream: sent(address, &request)? })
+    Some(Pending { member, plan: place as u32, sent: at, stream: sent(address, &request)? })
 }
--- a/crates/rehearse/src/tier/timeline.rs
+++ b/crates/rehearse/src/tier/timeline.rs
@@ -6,12 +6,13 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use sedgestack_accord::Digest;
 use sedgestack_fleet::Fleet;
 use sedgestack_hcl::{Document, Fault, Section};
 use serde::Serialize;
 
-use super::judge::Found;
-use super::{Cue, Kept, Options, Tier, Weather};
+use super::judge::{Found, Ruin};
+use super::{Cue, Kept, Options, Tier, Weather, WATCHED};
 use crate::Failure;
 
 /// What the settings of played tiers state as their clocks' difference, microseconds.
@@ -19,6 +20,12 @@
 /// Kinds of datagrams at which something can be set off.
 const KINDS: [&str; 6] = ["beat", "prepare", "promise", "accept", "accepted", "want"];
 
+/// One in so many drawn timelines begins with a ruin.
+const RUIN_EVERY: u64 = 4;
+/// The plan that a ruin strikes, by its place in the fleet file, and seconds of load before it.
+const RUINED: usize = 2;
+const BEFORE: Duration = Duration::from_secs(8);
+
 /// One step of a timeline; each begins when the one before is done.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub enum Step {
@@ -30,6 +37,12 @@
     Undo {
         at: u32,
     },
+    /// Once there are some seconds to hold it against, a plan is changed so that it serves nobody; `undo` says
+    /// whether the tier watches its changes.
+    Ruin {
+        at: u32,
+        undo: bool,
+    },
     Kill {
         limiter: u32,
     },
@@ -79,6 +92,7 @@
         match self {
             Step::Change { at, rate } => write!(f, "step \"change\" {{\n  at   = {at}\n  rate = {rate}\n}}"),
             Step::Undo { at } => write!(f, "step \"undo\" {{\n  at = {at}\n}}"),
+            Step::Ruin { at, undo } => write!(f, "step \"ruin\" {{\n  at   = {at}\n  undo = {undo}\n}}"),
             Step::Kill { limiter } => write!(f, "step \"kill\" {{\n  limiter = {limiter}\n}}"),
             Step::KillAt { limiter, from, kind, nth } => write!(
                 f,
@@ -119,6 +133,7 @@
     let step = match s.label()? {
         "change" => Step::Change { at: one("at")?, rate: s.number("rate", 3.6..=14.4)? },
         "undo" => Step::Undo { at: one("at")? },
+        "ruin" => Step::Ruin { at: one("at")?, undo: s.flag_or("undo", true)? },
         "kill" if s.has("from") => Step::KillAt {
             limiter: one("limiter")?,
             from: one("from")?,
@@ -144,7 +159,7 @@
         "pause" => Step::Pause { ms: s.span("for")? / 1_000 },
         _ => {
             return Err(s.fault(
-                "expected step \"change\", \"undo\", \"kill\", \"restart\", \"freeze\", \"thaw\", \"cut\", \"split\", \
+                "expected step \"change\", \"undo\", \"ruin\", \"kill\", \"restart\", \"freeze\", \"thaw\", \"cut\", \"split\", \
                  \"mend\", \"weather\" or \"pause\"",
             ))
         }
@@ -154,8 +169,20 @@
 }
 
 /// Draws a timeline: the same seed gives the same one. One limiter's store at the most is lost, as a majority that
-/// has forgotten waits for its operator.
+/// has forgotten waits for its operator. Every fourth begins with a ruin that is to be undone by itself, and by nobody
+/// else.
 pub fn draw(seed: u64, limiters: u32) -> Vec<Step> {
+    let mut steps = draw_faults(seed, limiters);
+    if seed.is_multiple_of(RUIN_EVERY) {
+        steps.retain(|step| !matches!(step, Step::Undo { .. }));
+        if let Some(Step::Change { at, .. }) = steps.first().cloned() {
+            steps[0] = Step::Ruin { at, undo: true };
+        }
+    }
+    steps
+}
+
+fn draw_faults(seed: u64, limiters: u32) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
     let (mut steps, mut down, mut frozen, mut lost) = (Vec::new(), Vec::new(), Vec::new(), false);
     let count = rng.random_range(6..14);
@@ -223,6 +250,8 @@
     /// What each limiter told last, where the tier did not come to stand under one version in a minute after the last
     /// fault was taken back.
     pub stuck: Vec<String>,
+    /// What a ruin cost, where one was made.
+    pub ruin: Option<Ruin>,
 }
 
 impl Played {
@@ -246,13 +275,18 @@
     /// # Errors
     /// Where a socket, a file or a daemon can't be had.
     pub fn run(&self, steps: &[Step]) -> Result<Played, Failure> {
-        let options = Options { seed: self.seed, ..Options::quick(self.limiters, self.daemon.clone()) };
+        let mut options = Options { seed: self.seed, ..Options::quick(self.limiters, self.daemon.clone()) };
+        let ruined = self.fleet.plans.get(RUINED).map(|p| p.name.clone()).unwrap_or_default();
+        if steps.iter().any(|step| matches!(step, Step::Ruin { undo: true, .. })) {
+            options.tier += WATCHED;
+        }
         let tier = Tier::start(self.fleet, options)?;
         tier.adopt();
         tier.load();
         let plan = self.fleet.plans[0].name.clone();
         let half = self.fleet.plans[0].rate / 7.2;
         let (mut begun, mut refused, mut asked) = (0, 0, Vec::new());
+        let mut ruinous = None;
         for step in steps {
             match step {
                 Step::Change { at, rate } => {
@@ -264,6 +298,18 @@
                         Err(_) => refused += 1,
                     }
                 }
+                Step::Ruin { at, .. } => {
+                    tier.comes(|| tier.recorded() >= BEFORE);
+                    let document = tier.ruinous(*at, &ruined);
+                    match tier.change(*at, &document, "") {
+                        Ok(_) => {
+                            begun += 1;
+                            asked.push(*at);
+                            ruinous = Some(Digest::of(document.as_bytes()).to_string());
+                        }
+                        Err(_) => refused += 1,
+                    }
+                }
                 Step::Undo { at } => match tier.call(*at, "PUT", "rules/undo", "") {
                     Some((200, _)) => {
                         begun += 1;
@@ -324,10 +370,17 @@
                     && s["version"] == s["decided"]
                     && (&s["version"], &s["digest"]) == (&first["version"], &first["digest"])
                     && s["begun_here"]["outcome"] != "open"
+                    && s["watch"]["state"] != "watched"
+                    && s["watch"]["state"] != "undo"
             })
         });
         tier.rest();
-        let found = tier.judge(BOUND_US);
+        let mut found = tier.judge(BOUND_US);
+        let ruin = ruinous.map_or(Ok(None), |digest| tier.ruin(&digest, RUINED as u32));
+        let ruin = ruin.unwrap_or_else(|broken| {
+            found.broken.push(broken);
+            None
+        });
         let open = |m: &u32| tier.status(*m).is_some_and(|s| s["begun_here"]["outcome"] == "open");
         asked.sort_unstable();
         asked.dedup();
@@ -335,7 +388,7 @@
         let history = tier.status(0).map(|s| s["history"].clone()).unwrap_or_default();
         let made = history.as_array().into_iter().flatten().filter(|p| p["void"] == false).count() as u32;
         let stuck = if stands { Vec::new() } else { tier.last_words() };
-        Ok(Played { found, begun, refused, made, untold, stuck })
+        Ok(Played { found, begun, refused, made, untold, stuck, ruin })
     }
 
     /// The fewest steps of a failing timeline that still fail, dropping one at a time.
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -168,6 +168,7 @@
     pub fn status(&self) -> Value {
         let Some(w) = &self.at else { return Value::Null };
         let state = match w.verdict {
+            Verdict::Undo { .. } if w.replaced => "undone",
             Verdict::Undo { .. } => "undo",
             _ if w.replaced => "replaced",
             Verdict::Goes => "watched",
@@ -230,6 +231,7 @@
         assert!(run(&mut watcher, 100..112, 1, (4, 40)) > 0, "{}", watcher.status());
         assert_eq!(watcher.status()["state"], "undo");
         watcher.serves(Some(Digest([2; 16])));
+        assert_eq!(watcher.status()["state"], "undone");
         assert_eq!(run(&mut watcher, 112..140, 2, (4, 40)), 0);
     }
 
