Hand a limiter's votes over to its next process, and put counter and roster behind links

Need: an upgrade of a limiter with a tier was refused, links to counter and roster could not fail in a rehearsal, and votes of large tiers came to nothing where datagrams are lost: a ballot was given up as if all answers had come.

Change: tier.hand_over lets the next process wait until the one before has closed its sockets, and read its votes. Each limiter's links to counter and roster are open, stalled without closing, or cut; drawn timelines set them. A proposer asks up to four times as many members where answers are missing, and a ballot may take twice a step's rounds. Tests for both, a frozen limiter's /ready, a quota cut to a tenth in a surge.

--- a/crates/accord/examples/mixing.rs
+++ b/crates/accord/examples/mixing.rs
@@ -4,7 +4,7 @@
 //!
 //! One change of 1,500 bytes in each of 20 tiers a line (6 of 100 limiters, 2 of 300), losses side by side on threads.
 //! "Made" counts the tiers in which it was in force everywhere 20 s after its moment (40 s after it was begun, up to
-//! 30 limiters); "mixed" is the longest time for which two limiters served different versions, of those that stood
+//! 30 limiters); "median_s" is how long after it was begun that was, half of them; "mixed" is the longest time for which two limiters served different versions, of those that stood
 //! current and of all; "taken in" the most messages that a limiter took in within a second.
 
 #[path = "../tests/tier/mod.rs"]
@@ -13,6 +13,8 @@
 
 use tier::{Tier, MS};
 
+/// Between two looks at whether a change is in force everywhere, ms.
+const LOOK: u64 = 250;
 const LOSSES: [f64; 4] = [0.0, 0.08, 0.2, 0.5];
 
 /// One size and loss as a line.
@@ -22,22 +24,35 @@
         31..=100 => (6, 45_000),
         _ => (2, 80_000),
     };
-    let (mut made, mut current, mut all, mut busiest) = (0, 0, 0, 0);
+    let (mut made, mut current, mut all, mut busiest, mut took) = (0, 0, 0, 0, Vec::new());
     for seed in 0..tiers {
         let mut tier = Tier::new(members, loss, seed);
         tier.run(if members > 100 { 30_000 } else { 10_000 });
         let begun = tier.propose(0, &[7; 1_500]).is_ok();
-        tier.run(wait);
-        made += u64::from(begun && tier.versions().iter().all(|v| *v == 1));
+        let (mut waited, mut done) = (0, false);
+        while waited < wait {
+            tier.run(LOOK);
+            waited += LOOK;
+            if begun && !done && tier.versions().iter().all(|v| *v == 1) {
+                (done, made) = (true, made + 1);
+                took.push(waited);
+            }
+        }
         current = current.max(tier.mixed_current);
         all = all.max(tier.mixed_any);
         busiest = busiest.max(tier.busiest_second);
     }
-    format!("{members:8} {loss:4} {made:2}/{tiers} {:16} {:12} {busiest:14}", current / MS, all / MS)
+    took.sort_unstable();
+    let median = took.get(took.len() / 2).map_or("-".into(), |ms| format!("{:.1}", *ms as f64 / 1e3));
+    format!(
+        "{members:8} {loss:4} {made:2}/{tiers} {median:>8} {:16} {:12} {busiest:14}",
+        current / MS,
+        all / MS
+    )
 }
 
 fn main() {
-    println!("limiters loss made  mixed_current_ms mixed_all_ms taken_in_per_s");
+    println!("limiters loss made  median_s mixed_current_ms mixed_all_ms taken_in_per_s");
     for members in [3, 10, 30, 100, 300] {
         let lines: Vec<String> = std::thread::scope(|scope| {
             let running: Vec<_> =
--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -23,6 +23,8 @@
 const TURNS: u64 = 8;
 /// A restarted member without its memory votes only so far above what the others have accepted.
 const FORGOTTEN: Slot = 2;
+/// Where answers are lost a proposer asks up to so many times as many.
+const MOST_ASKED: u64 = 4;
 /// Part of a member's intake that a proposer's answers may take.
 const VOTES_PART: (u64, u64) = (1, 5);
 /// Rounds of a proposal's lead beyond those of its vote: for what is lost, and for its document.
@@ -97,9 +99,19 @@
         (u64::from(self.intake) * self.round / 1_000_000 * VOTES_PART.0 / VOTES_PART.1).max(1)
     }
 
+    /// Rounds that a step of a vote takes where nothing is lost.
+    fn step_rounds(&self) -> u64 {
+        (self.majority() as u64).div_ceil(self.asked_a_round())
+    }
+
     /// Rounds that a vote takes where nothing is lost: both of its steps, and its documents.
     fn vote_rounds(&self) -> u64 {
-        2 * (self.majority() as u64).div_ceil(self.asked_a_round()) + SPARE_ROUNDS
+        2 * self.step_rounds() + SPARE_ROUNDS
+    }
+
+    /// Rounds after which a ballot that is still open has come to nothing: loss may take as long again.
+    fn ballot_rounds(&self) -> u64 {
+        BALLOT_ROUNDS + self.vote_rounds() + 2 * self.step_rounds()
     }
 
     fn majority(&self) -> usize {
@@ -676,8 +688,9 @@
                 Body::Accept { slot, ballot, value, kept }
             }
         };
-        // So many a round, in turn: their answers all come here.
+        // So many a round, in turn, as their answers all come here; more where of those asked so far less answered.
         let (members, mut asked) = (self.settings.members, 0);
+        let most = self.asked_now();
         for step in 0..members {
             let to = (self.asked_to + step) % members;
             let waits = match self.proposer.as_ref().map(|p| &p.phase) {
@@ -688,7 +701,7 @@
             if to != member && waits {
                 self.send(to, body.clone());
                 asked += 1;
-                if asked >= self.settings.asked_a_round() {
+                if asked >= most {
                     self.asked_to = (to + 1) % members;
                     return;
                 }
@@ -696,6 +709,20 @@
         }
     }
 
+    /// Members to ask in this round: as many answers as are to come in a round, by the share that came so far.
+    fn asked_now(&self) -> u64 {
+        let each = self.settings.asked_a_round();
+        let Some(p) = &self.proposer else { return each };
+        let came = match &p.phase {
+            Phase::Preparing { promises } => promises.len(),
+            Phase::Accepting { accepted, .. } => self.settings.majority() + accepted.len(),
+        };
+        let due = (self.now - p.begun) / self.settings.round * each;
+        // A round's answers are on their way still.
+        let due = due.saturating_sub(each).max(1);
+        each * due.div_ceil(came.max(1) as u64).clamp(1, MOST_ASKED)
+    }
+
     fn prepare(&mut self, from: Member, slot: Slot, ballot: Ballot, document: Option<Digest>) {
         self.highest_round = self.highest_round.max(ballot.round);
         if slot != self.decided + 1 || !self.votes_on(slot) {
@@ -840,7 +867,7 @@
         let round = self.settings.round;
         // A ballot that comes to nothing is begun anew; a vote that nobody finishes is taken over.
         if let Some(p) = &self.proposer {
-            if self.now - p.begun >= (BALLOT_ROUNDS + self.settings.vote_rounds()) * round {
+            if self.now - p.begun >= self.settings.ballot_rounds() * round {
                 let (own, needs) = match p.own {
                     // Its moment has come too near: what was not decided by now is not made.
                     Value::Change { at, .. } if self.now + self.settings.margin() > at => {
--- a/crates/rehearse/src/tier/mod.rs
+++ b/crates/rehearse/src/tier/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod judge;
 mod relay;
+pub mod streams;
 pub mod timeline;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -33,6 +34,8 @@
 use judge::{Found, Seen};
 use relay::Relay;
 pub use relay::{Cue, Deed, Weather};
+use serde::Serialize;
+use streams::{Link, State};
 
 /// A run that waits for longer than this for what must come has failed.
 const HUNG: Duration = Duration::from_secs(60);
@@ -56,7 +59,7 @@
     pub seed: u64,
     /// The daemon's binary.
     pub daemon: PathBuf,
-    /// Keys of the `tier` block, beside the store.
+    /// Keys of the `tier` block, beside the store; empty for limiters that agree on nothing.
     pub tier: String,
     pub stores: bool,
     /// What each limiter's clock is ahead of the machine's, milliseconds; 0 beyond the list's end.
@@ -64,6 +67,8 @@
     /// Workers behind the limiters, and how long each takes over an answer.
     pub workers: u32,
     pub work: Duration,
+    /// Customers who ask: the fewer, the more each asks for.
+    pub customers: u64,
 }
 
 impl Options {
@@ -78,6 +83,7 @@
             clocks_ms: Vec::new(),
             workers: 1,
             work: Duration::ZERO,
+            customers: CUSTOMERS,
         }
     }
 }
@@ -106,6 +112,13 @@
     pid: Arc<AtomicI32>,
 }
 
+/// What a limiter has a link to beside the other limiters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Service {
+    Counter,
+    Roster,
+}
+
 /// Threads that ask, and what stops them.
 type Load = (Arc<AtomicBool>, Vec<JoinHandle<()>>);
 
@@ -119,9 +132,12 @@
     daemon: PathBuf,
     seen: Arc<Mutex<Vec<Seen>>>,
     fleet: Fleet,
+    customers: u64,
     load: Mutex<Option<Load>>,
     counter: counter::Counter,
     workers: Vec<Worker>,
+    /// Each limiter's links to counter and roster.
+    services: Vec<[Link; 2]>,
     _roster: roster::Roster,
     _folder: TempDir,
     _runtime: Runtime,
@@ -181,7 +197,7 @@
         let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
         let runtime = runtime.map_err(io("runtime"))?;
         let peers: Vec<SocketAddr> = (0..options.members).map(|m| address(tier, m, 7946)).collect();
-        let (relay, counter, roster, workers, entries) = runtime.block_on(async {
+        let (relay, counter, roster, workers, entries, services) = runtime.block_on(async {
             let (mut workers, mut entries) = (Vec::new(), Vec::new());
             for number in 0..options.workers {
                 let (address, running) = worker(options.work).await?;
@@ -192,7 +208,12 @@
             }
             let counter = counter::start(&fleet.counter).await?;
             let roster = roster::Roster::start(&fleet, options.seed, entries.clone()).await?;
-            Ok::<_, Failure>((Relay::start(&peers, options.seed).await?, counter, roster, workers, entries))
+            let mut services = Vec::new();
+            for agent in &roster.addresses {
+                services.push([Link::start(counter.address).await?, Link::start(*agent).await?]);
+            }
+            let relay = Relay::start(&peers, options.seed).await?;
+            Ok::<_, Failure>((relay, counter, roster, workers, entries, services))
         })?;
         let folder = TempDir::with_prefix("sedgestack-tier-").map_err(io("a folder"))?;
         let mut sites = Vec::new();
@@ -204,9 +225,9 @@
             let (listen, ops) = (address(tier, member, 5000), address(tier, member, 9901));
             let config = json!({
                 "name": name, "listen": listen.to_string(), "ops": ops.to_string(),
-                "discovery": roster.addresses[member as usize].to_string(),
+                "discovery": services[member as usize][Service::Roster as usize].address.to_string(),
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-                "counter": counter.address.to_string(), "peer_listen": peers[member as usize].to_string(),
+                "counter": services[member as usize][Service::Counter as usize].address.to_string(), "peer_listen": peers[member as usize].to_string(),
                 "peers": relay.ports[member as usize].iter().map(ToString::to_string).collect::<Vec<_>>(),
                 "known": {"version": 1, "full": true, "servers": entries}, "settings": settings,
             });
@@ -219,6 +240,7 @@
             };
             let offset = options.clocks_ms.get(member as usize).copied().unwrap_or(0);
             let text = format!("tier {{\n  {kept}{}  clock_offset_ms = {offset}\n}}\n", options.tier);
+            let text = if options.tier.is_empty() { String::new() } else { text };
             std::fs::write(file("hcl"), text).map_err(io("settings"))?;
             sites.push(Site {
                 listen,
@@ -237,9 +259,11 @@
             daemon: options.daemon,
             seen: Arc::default(),
             fleet,
+            customers: options.customers,
             load: Mutex::new(None),
             counter,
             workers,
+            services,
             _roster: roster,
             _folder: folder,
             _runtime: runtime,
@@ -370,6 +394,13 @@
         Some((status, text))
     }
 
+    /// Whether a limiter says that it is ready; none where nobody answers.
+    pub fn ready(&self, member: u32) -> Option<bool> {
+        let request = "GET /ready HTTP/1.1\r\nHost: n\r\n\r\n";
+        let (status, _, _) = exchange(self.sites[member as usize].listen, request)?;
+        Some(status == 200)
+    }
+
     /// What a limiter tells of its rules.
     pub fn status(&self, member: u32) -> Option<Value> {
         let (status, text) = self.call(member, "GET", "rules", "")?;
@@ -381,6 +412,27 @@
         self.status(member)?["version"].as_u64()
     }
 
+    /// What a limiter's process has used so far: CPU time, and the most memory that it held, MB; none where there is
+    /// no process.
+    pub fn cost(&self, member: u32) -> Option<(Duration, f64)> {
+        let pid = self.sites[member as usize].pid.load(Relaxed);
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let after = stat.rsplit_once(')')?.1;
+        let ticks: Vec<u64> =
+            after.split_whitespace().skip(11).take(2).filter_map(|t| t.parse().ok()).collect();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let kb: f64 = peak.trim().trim_end_matches("kB").trim().parse().ok()?;
+        let used: u64 = ticks.iter().sum();
+        // Linux counts in hundredths of a second.
+        Some((Duration::from_millis(10 * used), kb / 1_024.0))
+    }
+
+    /// Answers on record.
+    pub fn answers(&self) -> usize {
+        locked(&self.seen).len()
+    }
+
     /// The next version at a limiter: the document in force there with another rate for a plan.
     pub fn next(&self, member: u32, plan: &str, rate: f64) -> String {
         let status = self.status(member).unwrap_or_default();
@@ -397,12 +449,25 @@
 
     /// The next version at a limiter: a plan that serves each of its customers one unit, and then nothing.
     pub fn ruinous(&self, member: u32, plan: &str) -> String {
-        let text = self.next(member, plan, 0.001);
-        let (before, after) = text.split_once("  rate  = 0.001\n  burst = ").unwrap_or_default();
+        self.cut(member, plan, 0.001, 1.0)
+    }
+
+    /// The next version at a limiter: a plan at another rate and burst, both meant.
+    fn cut(&self, member: u32, plan: &str, rate: f64, burst: f64) -> String {
+        let text = self.next(member, plan, rate);
+        let head = format!("  rate  = {rate}\n  burst = ");
+        let (before, after) = text.split_once(&head).unwrap_or_default();
         let (_, after) = after.split_once('\n').unwrap_or_default();
         let overrides = format!("  overrides = [\"plan.{plan}.rate\", \"plan.{plan}.burst\"]\n}}\n");
         let before = before.replacen("}\n", &overrides, 1);
-        format!("{before}  rate  = 0.001\n  burst = 1\n{after}")
+        format!("{before}  rate  = {rate}\n  burst = {burst}\n{after}")
+    }
+
+    /// The next version at a limiter: a plan at a tenth of its quota.
+    pub fn tenth(&self, member: u32, plan: &str) -> String {
+        let quota =
+            self.fleet.plans.iter().find(|p| p.name == plan).map_or((0.0, 0.0), |p| (p.rate, p.burst));
+        self.cut(member, plan, quota.0 / 10.0, (quota.1 / 10.0).max(1.0))
     }
 
     /// How long the record is: from the first request to the last answer.
@@ -431,12 +496,12 @@
 
     /// One request of a customer at a limiter, kept in the record where it was answered.
     pub fn ask(&self, member: u32) -> Asked {
-        ask(&self.fleet, member, self.sites[member as usize].listen, &self.seen)
+        ask((&self.fleet, self.customers), member, self.sites[member as usize].listen, &self.seen)
     }
 
     /// Sends a request to a limiter, which may be frozen, without waiting for its answer.
     pub fn send(&self, member: u32) -> Option<Pending> {
-        begin(&self.fleet, member, self.sites[member as usize].listen)
+        begin((&self.fleet, self.customers), member, self.sites[member as usize].listen)
     }
 
     /// Waits for the answer to a request that was sent, and keeps it in the record.
@@ -449,10 +514,10 @@
         let stop = Arc::new(AtomicBool::new(false));
         let threads = (0..self.sites.len() as u32).map(|member| {
             let (stop, seen, fleet) = (stop.clone(), self.seen.clone(), self.fleet.clone());
-            let address = self.sites[member as usize].listen;
+            let (address, customers) = (self.sites[member as usize].listen, self.customers);
             std::thread::spawn(move || {
                 while !stop.load(Relaxed) {
-                    if ask(&fleet, member, address, &seen).is_none() {
+                    if ask((&fleet, customers), member, address, &seen).is_none() {
                         std::thread::sleep(Duration::from_millis(5));
                     }
                     std::thread::sleep(Duration::from_millis(2));
@@ -566,6 +631,25 @@
         Ok(ended.status.code())
     }
 
+    /// Replaces a limiter's process: the next one is started beside it, and it is told to leave.
+    ///
+    /// # Errors
+    /// Where the next one does not come up.
+    pub fn upgrade(&self, member: u32) -> Result<(), Failure> {
+        let site = &self.sites[member as usize];
+        let (before, old) = (locked(&site.child).take(), site.pid.load(Relaxed));
+        self.spawn(member)?;
+        let waits = |lines: Vec<String>| lines.iter().any(|l| l.contains("hand-over: waits"));
+        self.until("the next process waits", || waits(self.log(member)));
+        if let Some(pid) = Pid::from_raw(old) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        if let Some(mut before) = before {
+            let _ = before.wait();
+        }
+        self.listens(member)
+    }
+
     /// The first `count` workers are gone, with all their connections; nobody is told.
     pub fn lose_workers(&self, count: usize) {
         self.workers.iter().take(count).for_each(Worker::abort);
@@ -626,9 +710,15 @@
         self.0.relay.split(groups);
     }
 
-    /// All links stand again.
+    /// Sets how a limiter's link to a service stands.
+    pub fn service(&self, limiter: u32, service: Service, state: State) {
+        self.0.services[limiter as usize][service as usize].set(state);
+    }
+
+    /// All links stand again, those to services among them.
     pub fn mend(&self) {
         self.0.relay.mend();
+        self.0.services.iter().flatten().for_each(|link| link.set(State::Open));
     }
 
     /// Datagrams that came, went on, were lost to a cut, and to the weather.
@@ -697,8 +787,8 @@
     stream: TcpStream,
 }
 
-fn ask(fleet: &Fleet, member: u32, address: SocketAddr, seen: &Mutex<Vec<Seen>>) -> Asked {
-    begin(fleet, member, address)?.record(seen)
+fn ask(of: (&Fleet, u64), member: u32, address: SocketAddr, seen: &Mutex<Vec<Seen>>) -> Asked {
+    begin(of, member, address)?.record(seen)
 }
 
 impl Pending {
@@ -712,7 +802,8 @@
     }
 }
 
-fn begin(fleet: &Fleet, member: u32, address: SocketAddr) -> Option<Pending> {
+/// Begins a request of the next of so many customers of a fleet.
+fn begin((fleet, customers): (&Fleet, u64), member: u32, address: SocketAddr) -> Option<Pending> {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     let number = NEXT.fetch_add(1, Relaxed);
     let class = &fleet.classes[0].name;
@@ -721,7 +812,7 @@
     let request = format!(
         "GET /{class}/{:016x} HTTP/1.1\r\nHost: n\r\nX-Request-Id: {number:016x}\r\nX-Class: {class}\r\n\
          X-Contract: {plan}\r\nX-Deadline-Ms: 1000\r\nX-Metering: units=1,spread=1,first={member}\r\n\r\n",
-        number % CUSTOMERS
+        number % customers
     );
     let at = unix_now();
     Some(Pending { member, plan: place as u32, sent: at, stream: sent(address, &request)? })
--- /dev/null
+++ b/crates/rehearse/src/tier/streams.rs
@@ -0,0 +1,82 @@
+//! The links from each limiter to counter and roster: every connection passes here, and can be cut, or stalled
+//! without being closed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Serialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::{io, Failure};
+
+/// How a link stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum State {
+    Open,
+    /// Connections stay open and nothing goes on, neither way; new ones are accepted.
+    Stalled,
+    /// Connections are closed, and new ones as soon as they come.
+    Cut,
+}
+
+/// One limiter's link to one service.
+pub struct Link {
+    /// Where the limiter finds the service.
+    pub address: SocketAddr,
+    state: Arc<watch::Sender<State>>,
+}
+
+impl Link {
+    /// A link to `service` that is open.
+    ///
+    /// # Errors
+    /// Where there is no port on loopback.
+    pub async fn start(service: SocketAddr) -> Result<Link, Failure> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(io("a link's socket"))?;
+        let address = listener.local_addr().map_err(io("a link's address"))?;
+        let state = Arc::new(watch::channel(State::Open).0);
+        let seen = state.subscribe();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(carry(near, service, seen.clone()));
+            }
+        });
+        Ok(Link { address, state })
+    }
+
+    /// Sets how it stands, for connections that are there and those to come.
+    pub fn set(&self, state: State) {
+        self.state.send_replace(state);
+    }
+}
+
+/// Carries one connection until either side closes it or the link is cut.
+async fn carry(near: TcpStream, service: SocketAddr, mut state: watch::Receiver<State>) {
+    if state.wait_for(|s| *s != State::Stalled).await.is_err() || *state.borrow() == State::Cut {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(service).await else { return };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let ((near_read, near_write), (far_read, far_write)) = (near.into_split(), far.into_split());
+    let mut cut = state.clone();
+    tokio::select! {
+        () = pass(near_read, far_write, state.clone()) => {}
+        () = pass(far_read, near_write, state) => {}
+        _ = cut.wait_for(|s| *s == State::Cut) => {}
+    }
+}
+
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut state: watch::Receiver<State>) {
+    let mut buffer = [0; 4_096];
+    loop {
+        let Ok(count) = from.read(&mut buffer).await else { return };
+        // What was read as the link stalled waits, as it would in a network's buffers.
+        let held = state.wait_for(|s| *s != State::Stalled).await.is_err();
+        if count == 0 || held || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/rehearse/src/tier/timeline.rs
+++ b/crates/rehearse/src/tier/timeline.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 
 use super::judge::{Found, Ruin};
-use super::{Cue, Kept, Options, Tier, Weather, WATCHED};
+use super::streams::State;
+use super::{Cue, Kept, Options, Service, Tier, Weather, WATCHED};
 use crate::Failure;
 
 /// What the settings of played tiers state as their clocks' difference, microseconds.
@@ -20,6 +21,9 @@
 /// Kinds of datagrams at which something can be set off.
 const KINDS: [&str; 6] = ["beat", "prepare", "promise", "accept", "accepted", "want"];
 
+/// As the enums count them.
+const SERVICES: [&str; 2] = ["counter", "roster"];
+const STATES: [&str; 3] = ["open", "stalled", "cut"];
 /// One in so many drawn timelines begins with a ruin.
 const RUIN_EVERY: u64 = 4;
 /// The plan that a ruin strikes, by its place in the fleet file, and seconds of load before it.
@@ -73,6 +77,12 @@
     Split {
         below: u32,
     },
+    /// A limiter's link to counter or roster is `open`, `stalled` without being closed, or `cut`.
+    Link {
+        limiter: u32,
+        to: Service,
+        state: State,
+    },
     Mend,
     Weather {
         loss: f64,
@@ -105,6 +115,11 @@
             Step::Thaw { limiter } => write!(f, "step \"thaw\" {{\n  limiter = {limiter}\n}}"),
             Step::Cut { from, to } => write!(f, "step \"cut\" {{\n  from = {from}\n  to   = {to}\n}}"),
             Step::Split { below } => write!(f, "step \"split\" {{\n  below = {below}\n}}"),
+            Step::Link { limiter, to, state } => write!(
+                f,
+                "step \"link\" {{\n  limiter = {limiter}\n  to      = \"{}\"\n  state   = \"{}\"\n}}",
+                SERVICES[*to as usize], STATES[*state as usize]
+            ),
             Step::Mend => write!(f, "step \"mend\" {{}}"),
             Step::Weather { loss, double, damage, late_ms } => write!(
                 f,
@@ -149,6 +164,11 @@
         "thaw" => Step::Thaw { limiter: one("limiter")? },
         "cut" => Step::Cut { from: one("from")?, to: one("to")? },
         "split" => Step::Split { below: s.whole("below", 1..=u64::from(limiters) - 1)? as u32 },
+        "link" => Step::Link {
+            limiter: one("limiter")?,
+            to: [Service::Counter, Service::Roster][s.word("to", &SERVICES)?],
+            state: [State::Open, State::Stalled, State::Cut][s.word("state", &STATES)?],
+        },
         "mend" => Step::Mend,
         "weather" => Step::Weather {
             loss: share("loss")?,
@@ -160,7 +180,7 @@
         _ => {
             return Err(s.fault(
                 "expected step \"change\", \"undo\", \"ruin\", \"kill\", \"restart\", \"freeze\", \"thaw\", \"cut\", \"split\", \
-                 \"mend\", \"weather\" or \"pause\"",
+                 \"link\", \"mend\", \"weather\" or \"pause\"",
             ))
         }
     };
@@ -179,6 +199,18 @@
             steps[0] = Step::Ruin { at, undo: true };
         }
     }
+    // Half of the timelines also lose services here and there, drawn on their own so that the rest stays as it is.
+    let mut rng = StdRng::seed_from_u64(!seed);
+    if rng.random_bool(0.5) {
+        for _ in 0..rng.random_range(1..4) {
+            let link = Step::Link {
+                limiter: rng.random_range(0..limiters),
+                to: [Service::Counter, Service::Roster][rng.random_range(0..2)],
+                state: [State::Open, State::Stalled, State::Cut][rng.random_range(0..3)],
+            };
+            steps.insert(rng.random_range(0..=steps.len()), link);
+        }
+    }
     steps
 }
 
@@ -343,6 +375,7 @@
                     let (one, other): (Vec<u32>, Vec<u32>) = (0..self.limiters).partition(|m| m < below);
                     tier.links().split(&[&one, &other]);
                 }
+                Step::Link { limiter, to, state } => tier.links().service(*limiter, *to, *state),
                 Step::Mend => tier.links().mend(),
                 Step::Weather { loss, double, damage, late_ms } => tier.links().weather(Weather {
                     loss: *loss,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -40,6 +40,8 @@
 pub struct StoreError {
     pub path: PathBuf,
     pub why: String,
+    /// Another process holds the file: it may let it go.
+    pub held: bool,
 }
 
 /// An open store; no other process can open its file meanwhile.
@@ -112,7 +114,7 @@
     /// # Errors
     /// Where another process holds the file, or neither it nor a new one can be had.
     pub fn open(path: &Path) -> Result<Opened, StoreError> {
-        let fault = |why: String| StoreError { path: path.to_path_buf(), why };
+        let fault = |why: String| StoreError { path: path.to_path_buf(), why, held: false };
         let why = match read_guarded(path) {
             Ok((file, value)) => {
                 return Ok(Opened {
@@ -121,7 +123,9 @@
                     set_aside: None,
                 });
             }
-            Err(Ended::Held) => return Err(fault("another process holds it".into())),
+            Err(Ended::Held) => {
+                return Err(StoreError { held: true, ..fault("another process holds it".into()) });
+            }
             Err(Ended::Unusable(why)) => why,
         };
         let name = |n: u32| {
@@ -145,8 +149,11 @@
     /// # Errors
     /// Where it can't be written; the value before is still there.
     pub fn save(&self, value: &[u8]) -> Result<(), StoreError> {
-        let fault =
-            |why: &dyn std::fmt::Display| StoreError { path: self.path.clone(), why: why.to_string() };
+        let fault = |why: &dyn std::fmt::Display| StoreError {
+            path: self.path.clone(),
+            why: why.to_string(),
+            held: false,
+        };
         let writing = self.file.begin_write().map_err(|e| fault(&e))?;
         {
             let mut table = writing.open_table(VALUES).map_err(|e| fault(&e))?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use sedgestack::Gateway;
 use sedgestack_capture::Header;
 use tokio::sync::{mpsc, watch, Mutex, Semaphore};
+use tokio::time::Instant;
 
 use cli::{Cli, Command};
 use net::clock::Clock;
@@ -27,7 +28,7 @@
 use net::shutdown::{Phase, Signals};
 use net::tier::{Base, Tier};
 use net::watch::Tally;
-use net::{cordons, front, list, log, tier};
+use net::{cordons, front, list, log, tier, turn};
 
 /// Room of the module's mailbox and of those of the list, the counter and the peers.
 const MODULE_MAILBOX: usize = 4096;
@@ -40,6 +41,10 @@
     tier_settings: Option<settings::Tier>,
     recorder: Option<Recorder>,
 ) -> Result<(), String> {
+    if let Some(tier) = &tier_settings {
+        let deadline = Instant::now() + config::span(tier.hand_over);
+        turn::wait(config.ops, config.peer_listen, deadline).await;
+    }
     let signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let gateway =
@@ -117,7 +122,7 @@
     if let Some((settings, base)) = tier_settings.zip(base) {
         let expected = "tier: expected caps.peerMessages, peer_listen and peers in the configuration";
         let peers = peers.ok_or(expected)?;
-        let (store, kept) = tier::open(settings.store.as_deref(), &config.name)?;
+        let (store, kept) = tier::open(settings.store.as_deref(), &config.name).await?;
         let ties = tier::Ties {
             clock,
             settings,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,6 +24,7 @@
 pub mod shutdown;
 pub mod sockets;
 pub mod tier;
+pub mod turn;
 pub mod watch;
 
 /// Settings of the checks by random steps: the same steps at every run.
--- a/src/net/settings.rs
+++ b/src/net/settings.rs
@@ -38,6 +38,8 @@
     /// What is done once the version in force was not known for longer than `wait`.
     pub unknown: Unknown,
     pub wait: Micros,
+    /// How long a process that is to take another one's place waits for that to leave.
+    pub hand_over: Micros,
     /// How a change is watched and undone by itself; not at all without.
     pub watch: Option<sedgestack_watch::Settings>,
     /// For tests alone: what this limiter's time of day is ahead of the machine's.
@@ -121,6 +123,7 @@
         intake: s.whole_or("intake", 8..=1_000, 40)? as u32,
         unknown: [Unknown::Serve, Unknown::Refuse][s.word_or_first("unknown", &["serve", "refuse"])?],
         wait: s.span_or("wait", lease)?,
+        hand_over: s.span_or("hand_over", 0)?,
         watch: s.maybe("watch")?.map(|w| watch(&w)).transpose()?,
         clock_offset: (clock_offset * 1e3) as i64,
     };
--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
 
 use super::clock::Clock;
 use super::config::Config;
@@ -29,6 +29,8 @@
 
 /// Looks at the agreement this often, and when a datagram or a call comes.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// A process whose sockets are closed lets go of its store within this.
+const LET_GO_WITHIN: Duration = Duration::from_secs(1);
 /// Versions told of by `GET /admin/rules`.
 const HISTORY: usize = 32;
 
@@ -170,10 +172,17 @@
 ///
 /// # Errors
 /// Where neither it nor a new one can be had.
-pub fn open(file: Option<&str>, name: &str) -> Result<(Option<Store>, Option<Vec<u8>>), String> {
+pub async fn open(file: Option<&str>, name: &str) -> Result<(Option<Store>, Option<Vec<u8>>), String> {
     let Some(file) = file else { return Ok((None, None)) };
     let path = file.replace("{name}", name);
-    let opened = Store::open(path.as_ref()).map_err(|e| format!("tier: store: {e}"))?;
+    // A process that ends lets go of its sockets and its files, in no order.
+    let deadline = Instant::now() + LET_GO_WITHIN;
+    let opened = loop {
+        match Store::open(path.as_ref()) {
+            Err(e) if e.held && Instant::now() < deadline => sleep(LOOK_EVERY).await,
+            other => break other.map_err(|e| format!("tier: store: {e}"))?,
+        }
+    };
     if let Some(aside) = opened.set_aside {
         COUNTERS.tier_set_aside.one();
         say!("tier: store: {path}: {}; set aside as {}, votes are forgotten", aside.why, aside.to.display());
--- a/tests/fleet_rules.rs
+++ b/tests/fleet_rules.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use sedgestack_fleet::Fleet;
-use sedgestack_rehearse::tier::{Cue, Kept, Options, Tier, Weather, WATCHED};
+use sedgestack_rehearse::tier::streams::State;
+use sedgestack_rehearse::tier::{Cue, Kept, Options, Service, Tier, Weather, WATCHED};
 
 /// What the settings state: the clocks' difference, 100 ms.
 const BOUND_US: u64 = 100_000;
@@ -35,10 +36,10 @@
 }
 
 /// Begins a change at a limiter, again where it is out of touch for a moment.
-fn begin(tier: &Tier, member: u32, rate: f64, scope: &str) -> u64 {
+fn begun(tier: &Tier, member: u32, scope: &str, document: impl Fn() -> String) -> u64 {
     let mut begun = 0;
     tier.until("a change that is begun", || {
-        let answer = tier.change(member, &next(tier, member, rate), scope);
+        let answer = tier.change(member, &document(), scope);
         if let Err((status, why)) = &answer {
             assert!([0, 409].contains(status), "{status}: {why}");
         }
@@ -48,6 +49,10 @@
     begun
 }
 
+fn begin(tier: &Tier, member: u32, rate: f64, scope: &str) -> u64 {
+    begun(tier, member, scope, || next(tier, member, rate))
+}
+
 fn until_version(tier: &Tier, members: &[u32], version: u64) {
     tier.until(&format!("version {version} at {members:?}"), || {
         members.iter().all(|m| tier.version(*m) >= Some(version))
@@ -359,6 +364,45 @@
     in_order(&tier);
 }
 
+/// The links to counter and roster of two limiters stall without closing, or are cut: what limiters agree on goes
+/// between them alone.
+#[test]
+fn a_change_is_made_though_counter_and_roster_hang() {
+    let tier = tier(3);
+    for (limiter, service, state) in [
+        (0, Service::Counter, State::Stalled),
+        (0, Service::Roster, State::Stalled),
+        (1, Service::Counter, State::Cut),
+        (2, Service::Roster, State::Cut),
+    ] {
+        tier.links().service(limiter, service, state);
+    }
+    let made = begin(&tier, 0, 6.5, "");
+    until_version(&tier, &[0, 1, 2], made);
+    tier.until("all serve", || (0..3).all(|m| tier.ask(m).is_some_and(|s| s.version == Some(made))));
+    tier.links().mend();
+    in_order(&tier);
+}
+
+/// While a limiter stands still, its `/ready` can't be asked; on going on it says no before it says yes.
+#[test]
+fn one_frozen_beyond_its_lease_is_not_ready_until_it_knows() {
+    let tier = tier(3);
+    tier.until("it is ready", || tier.ready(2) == Some(true));
+    tier.freeze(2);
+    let made = begin(&tier, 0, 6.5, "");
+    until_version(&tier, &[0, 1], made);
+    // It goes on without a word from the others: what it knew has lapsed.
+    tier.links().split(&[&[0, 1], &[2]]);
+    tier.thaw(2);
+    tier.until("it is not ready", || tier.ready(2) == Some(false));
+    assert_eq!(tier.ask(2).map(|s| (s.status, s.version)), Some((429, None)));
+    tier.links().mend();
+    tier.until("it is ready again", || tier.ready(2) == Some(true));
+    until_version(&tier, &[2], made);
+    in_order(&tier);
+}
+
 // == Undo by itself ================================================================================
 
 /// A tier under watch and load, with some seconds on record to hold a change against.
@@ -381,14 +425,7 @@
 
 /// Begins the change that ruins the plan `faculdade`.
 fn ruin(tier: &Tier, member: u32) -> u64 {
-    let mut begun = 0;
-    tier.until("a ruinous change that is begun", || {
-        let answer = tier.change(member, &tier.ruinous(member, "faculdade"), "");
-        assert!(!matches!(answer, Err((400 | 422, _))), "{answer:?}");
-        begun = answer.unwrap_or(0);
-        begun > 0
-    });
-    begun
+    begun(tier, member, "", || tier.ruinous(member, "faculdade"))
 }
 
 /// The versions made, by the history of a limiter.
@@ -421,6 +458,16 @@
     in_order(&tier);
 }
 
+/// Each customer asks for more than its quota by far: the cut shows beside the plans that are refused as before.
+#[test]
+fn a_quota_cut_to_a_tenth_in_a_surge_is_undone() {
+    let tier = watched(3, |o| o.customers = 24);
+    let bad = begun(&tier, 1, "", || tier.tenth(1, "faculdade"));
+    until_version(&tier, &[0, 1, 2], bad);
+    undone_once(&tier, &[0, 1, 2]);
+    in_order(&tier);
+}
+
 #[test]
 fn the_one_who_made_a_bad_change_is_killed_right_after_it_and_the_rest_undo_it() {
     let tier = watched(3, |_| {});
@@ -513,6 +560,24 @@
     in_order(&tier);
 }
 
+#[test]
+fn a_commit_at_the_very_moment_of_an_upgrade_is_not_missed_by_the_next_process() {
+    let tier = tier_of(3, |o| o.tier += "  hand_over = \"30s\"\n");
+    tier.adopt();
+    tier.load();
+    let made = std::thread::scope(|s| {
+        let upgraded = s.spawn(|| tier.upgrade(2));
+        let made = begin(&tier, 0, 6.5, "");
+        upgraded.join().expect("it ends").expect("the next process comes up");
+        made
+    });
+    until_version(&tier, &[0, 1, 2], made);
+    tier.until("it serves", || tier.ask(2).is_some_and(|s| s.version == Some(made)));
+    // The next process has the votes of the one before: it need not wait for an operator.
+    assert_eq!(tier.status(2).expect("it answers")["waits_for_adopt"], false);
+    in_order(&tier);
+}
+
 #[test]
 fn requests_in_flight_keep_their_version_and_are_retried_where_the_next_one_holds() {
     let tier = tier_of(3, |o| o.work = Duration::from_millis(400));
