End changes that were passed by a dead proposer, seek the decided document first, read clocks whole

Causes: a proposer passed by a higher ballot let go, and where that ballot's member died before anybody had accepted, no vote was open to be taken over. A limiter went on asking for a document that had died with its proposer and never asked for the decided one.

Change: a change begun here that hangs counts as open and is taken up; the decided document is sought first; of eight readings of the clocks the tightest counts. Unit tests for the first two.

--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -721,7 +721,7 @@
         // A round's answers are on their way still.
         let due = due.saturating_sub(each).max(1);
         let came = came.max(1) as u64;
-        ((each * due + came / 2) / came).clamp(each, MOST_ASKED * each)
+        (each * due / came).clamp(each, MOST_ASKED * each)
     }
 
     fn prepare(&mut self, from: Member, slot: Slot, ballot: Ballot, document: Option<Digest>) {
@@ -805,7 +805,8 @@
     fn sought(&self) -> Vec<Digest> {
         let wanted = self.wanted.map(|(d, _)| d).into_iter();
         let decided = self.value.serves().into_iter();
-        wanted.chain(decided).filter(|d| !self.documents.has(d)).collect()
+        // The decided one first: what was wanted for a vote may be gone with its proposer.
+        decided.chain(wanted).filter(|d| !self.documents.has(d)).collect()
     }
 
     fn want(&mut self, from: Member, digest: Digest) {
@@ -849,7 +850,11 @@
                 self.documents.only(&kept);
             }
         }
-        if self.furthest() > self.decided {
+        // A change that was begun here and passed by one that has died since is open too, though nobody has accepted
+        // anything: its operator waits to be told.
+        let hangs =
+            self.proposer.is_none() && self.proposed_here.is_some_and(|(slot, _)| slot > self.decided);
+        if hangs || self.furthest() > self.decided {
             let open = self.decided + 1;
             if self.open_since.is_none_or(|(slot, _)| slot != open) {
                 self.open_since = Some((open, self.now));
@@ -973,3 +978,84 @@
         self.out.push(Out { to, bytes: message.encode() });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ROUND: Micros = 250_000;
+
+    fn node() -> Node {
+        let settings = Settings {
+            member: 0,
+            members: 3,
+            round: ROUND,
+            fanout: 2,
+            lease: 3_000_000,
+            skew: 400_000,
+            lead: 6_000_000,
+            intake: 40,
+        };
+        Node::new(settings, 1, None, true).expect("in order")
+    }
+
+    fn heard(node: &mut Node, now: Micros, from: Member, body: Body) {
+        node.hear(now, &Message { from, sent: now, body }.encode()).expect("it is heard");
+    }
+
+    fn beat(decided: Slot, value: Value) -> Body {
+        Body::Beat {
+            reach: decided,
+            decided,
+            value,
+            in_force: false,
+            forgetful: false,
+            first: 0,
+            words: Vec::new(),
+        }
+    }
+
+    /// The bodies of what a member sends in the rounds up to a moment.
+    fn sent(node: &mut Node, from: Micros, until: Micros) -> Vec<Body> {
+        let rounds = (from..until).step_by(ROUND as usize);
+        let out: Vec<Out> = rounds.flat_map(|now| node.tick(now)).collect();
+        out.iter().map(|o| Message::decode(&o.bytes).expect("its own").body).collect()
+    }
+
+    #[test]
+    fn a_document_that_is_gone_with_its_proposer_does_not_hide_the_decided_one() {
+        let (mut node, now) = (node(), 10 * ROUND);
+        let (gone, made) = (Digest([1; 16]), Digest([2; 16]));
+        let ballot = Ballot { round: 1, member: 1 };
+        heard(&mut node, now, 1, Body::Prepare { slot: 1, ballot, document: Some(gone) });
+        heard(&mut node, now, 2, beat(1, Value::Change { digest: made, at: now + 1 }));
+        let bodies = sent(&mut node, now + ROUND, now + 20 * ROUND);
+        let asks =
+            bodies.iter().filter(|b| matches!(b, Body::Want { digest, .. } if *digest == made)).count();
+        assert!(asks >= 10, "{bodies:?}");
+    }
+
+    #[test]
+    fn a_change_that_was_passed_by_one_that_died_is_ended_for_its_operator() {
+        let (mut node, now) = (node(), 10 * ROUND);
+        for from in [1, 2] {
+            heard(&mut node, now, from, beat(0, Value::Void { keeps: None }));
+        }
+        node.tick(now);
+        assert_eq!(node.propose(now, b"a change".to_vec(), 0), Ok(1));
+        let ballot = Ballot { round: 9, member: 1 };
+        heard(&mut node, now, 2, Body::Passed { slot: 1, ballot });
+        // Nobody has accepted anything, and the other ballot's member says nothing more.
+        let mut again = None;
+        for n in 1..60 {
+            let at = now + n * ROUND;
+            for from in [1, 2] {
+                heard(&mut node, at, from, beat(0, Value::Void { keeps: None }));
+            }
+            let bodies = sent(&mut node, at, at + 1);
+            let own = |b: &Body| matches!(b, Body::Prepare { ballot, .. } if ballot.round > 9);
+            again = again.or(bodies.iter().any(own).then_some(n));
+        }
+        assert!(again.is_some(), "it takes its own change up again");
+    }
+}
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -13,11 +13,20 @@
     origin: Instant,
 }
 
+/// Readings of the clocks at a start.
+const READINGS: u32 = 8;
+
 impl Clock {
-    /// Reads the system's clock, this once.
+    /// Reads the system's clock, this once: of a few readings the one between whose ends least time went by. A
+    /// process that is put off between its two clocks would be behind by that for as long as it lives.
     pub fn start() -> Clock {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { epoch: since.as_micros() as Micros, origin: Instant::now() }
+        let reading = |_| {
+            let before = Instant::now();
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            (before.elapsed(), Clock { epoch: since.as_micros() as Micros, origin: before })
+        };
+        let readings = (0..READINGS).map(reading);
+        readings.min_by_key(|(took, _)| *took).map(|(_, clock)| clock).expect("there is one at least")
     }
 
     /// What the clock shows at an instant.
