Tell a held change as held in the status, not as undone

Seen as a new user: a hold that came just before the undo won, and `config status` said "undone, fell by 0.78".

Change: a version with the same figures ends a watch as "held".

--- a/crates/kit/src/tier.rs
+++ b/crates/kit/src/tier.rs
@@ -104,6 +104,7 @@
             watch["version"],
             watch["drop"].as_f64().unwrap_or(0.0)
         ),
+        ("held", _) => format!("version {} was held", watch["version"]),
         ("stands", _) => format!("version {} stands", watch["version"]),
         _ => String::new(),
     };
--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -479,7 +479,7 @@
     fn goes_over(&mut self, slot: Slot, document: Document) {
         let digest = document.digest();
         if let Some(watcher) = &mut self.watcher {
-            watcher.serves(Some(digest));
+            watcher.serves(Some(digest), self.serving.same_figures(&document));
             // One that was not made of the version served here until now is an undo, or others were missed: there
             // is nothing to hold it against.
             let (decided, value) = self.node.decided();
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -60,8 +60,9 @@
     tallies: Tallies,
     watch: Watch,
     verdict: Verdict,
-    /// Another document is in force by now.
+    /// Another document is in force by now, and whether it has the same figures: then the change was held.
     replaced: bool,
+    held: bool,
     /// Limiters in the latest sum, and seconds judged before and after the change.
     heard: Member,
     judged: (usize, usize),
@@ -105,6 +106,7 @@
             watch,
             verdict: Verdict::Goes,
             replaced: false,
+            held: false,
             heard: 0,
             judged: (0, 0),
         };
@@ -112,10 +114,10 @@
         self.at = Some(watched);
     }
 
-    /// Another document than `digest` is watched no more.
-    pub fn serves(&mut self, digest: Option<Digest>) {
-        if let Some(watched) = self.at.as_mut().filter(|w| Some(w.digest) != digest) {
-            watched.replaced = true;
+    /// Another document than `digest` is watched no more; `held` says that its figures are those served until now.
+    pub fn serves(&mut self, digest: Option<Digest>, held: bool) {
+        if let Some(watched) = self.at.as_mut().filter(|w| Some(w.digest) != digest && !w.replaced) {
+            (watched.replaced, watched.held) = (true, held);
         }
     }
 
@@ -168,11 +170,12 @@
     pub fn status(&self) -> Value {
         let Some(w) = &self.at else { return Value::Null };
         let state = match w.verdict {
+            Verdict::Stands => "stands",
+            _ if w.held => "held",
             Verdict::Undo { .. } if w.replaced => "undone",
             Verdict::Undo { .. } => "undo",
             _ if w.replaced => "replaced",
             Verdict::Goes => "watched",
-            Verdict::Stands => "stands",
         };
         let (drop, after_s) = match w.verdict {
             Verdict::Undo { drop, at_s } => (Some(drop), Some(at_s)),
@@ -230,7 +233,7 @@
         watcher.begin(1, bad, 100_000_000, vec![true, false]);
         assert!(run(&mut watcher, 100..112, 1, (4, 40)) > 0, "{}", watcher.status());
         assert_eq!(watcher.status()["state"], "undo");
-        watcher.serves(Some(Digest([2; 16])));
+        watcher.serves(Some(Digest([2; 16])), false);
         assert_eq!(watcher.status()["state"], "undone");
         assert_eq!(run(&mut watcher, 112..140, 2, (4, 40)), 0);
     }
@@ -247,13 +250,26 @@
         );
     }
 
+    #[test]
+    fn a_change_that_is_held_is_told_so_whatever_was_seen_of_it() {
+        for seconds in [103, 112] {
+            let mut watcher = alone();
+            run(&mut watcher, 80..100, 0, (20, 40));
+            watcher.begin(1, Digest([1; 16]), 100_000_000, vec![true, false]);
+            run(&mut watcher, 100..seconds, 1, (4, 40));
+            watcher.serves(Some(Digest([2; 16])), true);
+            watcher.serves(Some(Digest([3; 16])), false);
+            assert_eq!(watcher.status()["state"], "held", "after {seconds}");
+        }
+    }
+
     #[test]
     fn a_void_version_on_the_way_goes_on_with_the_watch() {
         let mut watcher = alone();
         run(&mut watcher, 80..100, 0, (20, 40));
         watcher.begin(1, Digest([1; 16]), 100_000_000, vec![true, false]);
         run(&mut watcher, 100..103, 1, (4, 40));
-        watcher.serves(Some(Digest([1; 16])));
+        watcher.serves(Some(Digest([1; 16])), false);
         assert!(run(&mut watcher, 103..115, 2, (4, 40)) > 0, "{}", watcher.status());
     }
 
--- a/tests/fleet_rules.rs
+++ b/tests/fleet_rules.rs
@@ -527,7 +527,7 @@
     until_version(&tier, &[0, 1, 2], bad + 1);
     passes(&tier, 6);
     let ruined = |s: &serde_json::Value| s["text"].as_str().is_some_and(|t| t.contains("rate  = 0.001"));
-    assert!(tier.all(|s| ruined(s) && s["version"] == bad + 1 && s["watch"]["state"] != "watched"));
+    assert!(tier.all(|s| ruined(s) && s["version"] == bad + 1 && s["watch"]["state"] == "held"));
     assert_eq!(call(2, "rules/pin").0, 200);
     until_version(&tier, &[0, 1, 2], bad + 2);
     assert!(tier.all(|s| s["pinned"] == true && ruined(s)));
