Judge a version's end by where the next one is first seen, no sooner than its moment

Cause: the judge took the decided moment for the one in force.

Change: the version before ends where the next is first seen, and no sooner than its moment. A test for each side.

--- a/crates/rehearse/src/tier/judge.rs
+++ b/crates/rehearse/src/tier/judge.rs
@@ -66,6 +66,17 @@
     // From when to when each version's document was in force; a void version goes on with the one before.
     let made: Vec<(u64, Micros)> =
         told.iter().filter(|(_, (_, void, _))| !void).map(|(v, (_, _, at))| (*v, *at)).collect();
+    let firsts: Vec<(u64, Micros)> = made
+        .iter()
+        .map(|(v, _)| {
+            let under = seen.iter().filter(|s| s.version.is_some_and(|named| named >= *v));
+            (*v, under.map(|s| s.answered).min().unwrap_or(Micros::MAX))
+        })
+        .collect();
+    let first_seen = |version: u64| {
+        let found = firsts.iter().find(|(v, _)| *v == version);
+        found.map_or(Micros::MAX, |(_, at)| *at)
+    };
     for s in seen {
         let Some(version) = s.version else {
             if s.status == 200 {
@@ -79,7 +90,9 @@
         }
         let next = made.partition_point(|(v, _)| *v <= version);
         let from = next.checked_sub(1).map_or(0, |n| made[n].1);
-        let until = made.get(next).map_or(Micros::MAX, |(_, at)| *at);
+        // A change that was finished late comes into force later than its moment: the version before ends where the
+        // next one is first seen, and no sooner than the moment.
+        let until = made.get(next).map_or(Micros::MAX, |(v, at)| first_seen(*v).max(*at));
         let early = from.saturating_sub(s.answered);
         let late = s.sent.saturating_sub(until);
         let by = early.max(late);
@@ -148,9 +161,9 @@
     fn each_answer_is_held_to_the_time_of_its_version() {
         let good = [seen(0, 0), seen(1_000, 1), seen(1_500, 2), seen(2_050, 3), seen(2_090, 2)];
         let found = judge(&good, &[history()], 100);
-        assert_eq!((found.broken, found.largest_mixing_us), (vec![], 90));
-        for bad in [seen(1_101, 0), seen(800, 1), seen(2_101, 1), seen(1_500, 3)] {
-            let found = judge(std::slice::from_ref(&bad), &[history()], 100);
+        assert_eq!((found.broken, found.largest_mixing_us), (vec![], 30));
+        for bad in [seen(1_120, 0), seen(800, 1), seen(2_120, 1), seen(1_500, 3)] {
+            let found = judge(&[seen(1_000, 1), seen(2_000, 3), bad.clone()], &[history()], 100);
             assert!(matches!(found.broken[..], [Broken::OutOfForce { .. }]), "{bad:?}: {found:?}");
         }
         assert!(matches!(judge(&[seen(1, 9)], &[history()], 100).broken[..], [Broken::Unknown { .. }]));
@@ -171,6 +184,18 @@
         assert!(matches!(ruin(&all, &twice, "a", 2, 1.5), Err(Broken::UndoneTwice { made: 2, .. })));
     }
 
+    /// Its moment is 1,000; it was finished late, and nobody served under it before 1,700.
+    #[test]
+    fn a_change_that_was_finished_late_begins_where_it_is_first_seen() {
+        let late = [seen(1_600, 0), seen(1_700, 1), seen(1_800, 0)];
+        assert_eq!(judge(&late, &[history()], 100).broken, vec![]);
+        let beyond = [seen(1_700, 1), seen(1_811, 0)];
+        assert!(matches!(
+            judge(&beyond, &[history()], 100).broken[..],
+            [Broken::OutOfForce { by_us: 1, .. }]
+        ));
+    }
+
     #[test]
     fn two_histories_are_found() {
         let mut other = history();
