Read yes-or-nothing queries in one place, and compare a version's figures once

Need: undo and pin each took their query apart in the same way; a version that comes into force was held against the one before twice; the places of versions were gathered at each word though they are needed once a second; and a process that may not wait for its place said that it waits.

Behaviour stays, but for that line in the log.

--- a/src/main.rs
+++ b/src/main.rs
@@ -41,7 +41,7 @@
     tier_settings: Option<settings::Tier>,
     recorder: Option<Recorder>,
 ) -> Result<(), String> {
-    if let Some(tier) = &tier_settings {
+    if let Some(tier) = tier_settings.as_ref().filter(|t| t.hand_over > 0) {
         let deadline = Instant::now() + config::span(tier.hand_over);
         turn::wait(config.ops, config.peer_listen, deadline).await;
     }
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -280,10 +280,10 @@
         let current = self.version(told.current);
         let next = told.next.and_then(|(from, rules)| Some((from, self.version(rules)?)));
         let (Some(current), Some((unknown, wait))) = (current, self.ties.rules) else { return };
-        let held: Vec<&Places> = next.iter().map(|(_, v)| &*v.places).chain([&*current.places]).collect();
         let now = self.ties.clock.now();
         if now >= self.tidied_at + RULES_TIDIED_EVERY {
             self.tidied_at = now;
+            let held: Vec<&Places> = next.iter().map(|(_, v)| &*v.places).chain([&*current.places]).collect();
             self.gateway.forget_versions(&held);
         }
         let word = Word { current, next, until: told.until };
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -264,12 +264,20 @@
     ask(&ops, Call::Commit { digest, everyone, except, force }).await
 }
 
+/// Whether a call's query is `yes`, or nothing.
+fn asks(uri: &Uri, yes: &str) -> Result<bool, Box<Response>> {
+    match uri.query().unwrap_or_default() {
+        "" => Ok(false),
+        query if query == yes => Ok(true),
+        other => Err(Box::new(no(StatusCode::BAD_REQUEST, &format!("{other}: expected {yes}, or nothing")))),
+    }
+}
+
 /// Begins the change back; `force=yes` where the version in force is pinned.
 async fn undo(State(ops): State<Arc<Ops>>, uri: Uri) -> Response {
-    match uri.query().unwrap_or_default() {
-        "" => ask(&ops, Call::Undo { force: false }).await,
-        "force=yes" => ask(&ops, Call::Undo { force: true }).await,
-        other => no(StatusCode::BAD_REQUEST, &format!("{other}: expected force=yes, or nothing")),
+    match asks(&uri, "force=yes") {
+        Ok(force) => ask(&ops, Call::Undo { force }).await,
+        Err(no) => *no,
     }
 }
 
@@ -280,10 +288,10 @@
 
 /// Begins a version of the same figures that no change is made of unless it is forced; `off=yes` ends that.
 async fn pin(State(ops): State<Arc<Ops>>, uri: Uri) -> Response {
-    match uri.query().unwrap_or_default() {
-        "" => ask(&ops, Call::Hold { pinned: true }).await,
-        "off=yes" => ask(&ops, Call::Unpin).await,
-        other => no(StatusCode::BAD_REQUEST, &format!("{other}: expected off=yes, or nothing")),
+    match asks(&uri, "off=yes") {
+        Ok(true) => ask(&ops, Call::Unpin).await,
+        Ok(false) => ask(&ops, Call::Hold { pinned: true }).await,
+        Err(no) => *no,
     }
 }
 
--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -478,8 +478,9 @@
     /// Serves under another document from now on.
     fn goes_over(&mut self, slot: Slot, document: Document) {
         let digest = document.digest();
+        let held = self.serving.same_figures(&document);
         if let Some(watcher) = &mut self.watcher {
-            watcher.serves(Some(digest), self.serving.same_figures(&document));
+            watcher.serves(digest, held);
             // One that was not made of the version served here until now is an undo, or others were missed: there
             // is nothing to hold it against.
             let (decided, value) = self.node.decided();
@@ -492,7 +493,7 @@
         }
         let before = std::mem::replace(&mut self.serving, document);
         // A hold or a pin changes nothing that could be gone back from.
-        if !before.same_figures(&self.serving) {
+        if !held {
             self.before = Some(before);
         }
     }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -115,8 +115,8 @@
     }
 
     /// Another document than `digest` is watched no more; `held` says that its figures are those served until now.
-    pub fn serves(&mut self, digest: Option<Digest>, held: bool) {
-        if let Some(watched) = self.at.as_mut().filter(|w| Some(w.digest) != digest && !w.replaced) {
+    pub fn serves(&mut self, digest: Digest, held: bool) {
+        if let Some(watched) = self.at.as_mut().filter(|w| w.digest != digest && !w.replaced) {
             (watched.replaced, watched.held) = (true, held);
         }
     }
@@ -233,7 +233,7 @@
         watcher.begin(1, bad, 100_000_000, vec![true, false]);
         assert!(run(&mut watcher, 100..112, 1, (4, 40)) > 0, "{}", watcher.status());
         assert_eq!(watcher.status()["state"], "undo");
-        watcher.serves(Some(Digest([2; 16])), false);
+        watcher.serves(Digest([2; 16]), false);
         assert_eq!(watcher.status()["state"], "undone");
         assert_eq!(run(&mut watcher, 112..140, 2, (4, 40)), 0);
     }
@@ -257,8 +257,8 @@
             run(&mut watcher, 80..100, 0, (20, 40));
             watcher.begin(1, Digest([1; 16]), 100_000_000, vec![true, false]);
             run(&mut watcher, 100..seconds, 1, (4, 40));
-            watcher.serves(Some(Digest([2; 16])), true);
-            watcher.serves(Some(Digest([3; 16])), false);
+            watcher.serves(Digest([2; 16]), true);
+            watcher.serves(Digest([3; 16]), false);
             assert_eq!(watcher.status()["state"], "held", "after {seconds}");
         }
     }
@@ -269,7 +269,7 @@
         run(&mut watcher, 80..100, 0, (20, 40));
         watcher.begin(1, Digest([1; 16]), 100_000_000, vec![true, false]);
         run(&mut watcher, 100..103, 1, (4, 40));
-        watcher.serves(Some(Digest([1; 16])), false);
+        watcher.serves(Digest([1; 16]), false);
         assert!(run(&mut watcher, 103..115, 2, (4, 40)) > 0, "{}", watcher.status());
     }
 
