Begin no attempt for a client that has left, however late its connection comes up

Cause: `Mail::Abandoned` ends a request in the decisions, but an attempt that was ordered already waited on for its connection in `Destination::step` and was written when that came up.

Twins, found by reading: the word of the client's end could lie in the module's mailbox behind what sends the request on (`Module::send`); an end that stands behind bytes of a next request was not seen, as hyper's `mid_message_detect_eof` looks for none while its buffer holds bytes.

Mend: the front tells the end to the request itself (`Forward::left`), where every holder of it looks: the module as it sends, the attempt until its last byte is written. What was written whole goes on. While a request is with the module, its connection is read ahead, up to 16 KiB.

--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -149,6 +149,11 @@
         self.head.load(Relaxed) == BLANK && self.body.load(Relaxed) >= body as u64
     }
 
+    /// A request with such a body is written whole and not answered.
+    fn is_out(&self, body: usize) -> bool {
+        !self.between_requests() && self.whole(body)
+    }
+
     /// Counts bytes that the socket took.
     fn wrote(&self, bytes: &[u8]) {
         if bytes.is_empty() {
@@ -437,13 +442,32 @@
         let (fleet, closed) = (self.fleet.clone(), self.closed.clone());
         async move {
             let mut end = StepEnd::bare(step.request, step.attempt, Outcome::NotSent, Duration::ZERO);
-            // Guards drains: a step may have waited in the mailbox while its destination began to drain.
-            while !closed.load(Relaxed) {
+            // Guards drains: a step may have waited in the mailbox while its destination began to drain, or its
+            // client went away.
+            while !closed.load(Relaxed) && !step.forward.left.is_cancelled() {
                 let mut request = Self::request(&authority, &step);
                 let used = capture_connection(&mut request);
                 let body = step.forward.body.len();
-                let exchange = exchange(&pool, request, &used, body, &fleet, &mut end);
-                end.outcome = match timeout_at(step.deadline, exchange).await {
+                let ended = {
+                    let exchange = exchange(&pool, request, &used, body, &fleet, &mut end);
+                    let exchange = timeout_at(step.deadline, exchange);
+                    tokio::pin!(exchange);
+                    tokio::select! {
+                        biased;
+                        ended = &mut exchange => Some(ended),
+                        // Guards against beginning, or going on to write, what nobody waits for: a dial may be late
+                        // by seconds. What was written whole runs, and its end is waited for.
+                        () = step.forward.left.cancelled() => match wire(&used).is_some_and(|w| w.is_out(body)) {
+                            true => Some(exchange.await),
+                            false => None,
+                        },
+                    }
+                };
+                let Some(ended) = ended else {
+                    end.outcome = Outcome::Canceled;
+                    break;
+                };
+                end.outcome = match ended {
                     Ok(Outcome::ConnectFailed) if closed.load(Relaxed) => Outcome::NotSent,
                     // Guards against blaming a destination for a connection that ended while it stood idle:
                     // nothing was written to it, and there are others.
@@ -530,7 +554,7 @@
     let asked = pool.request(request).await;
     let wire = wire(used);
     // Written whole: the last byte was taken before the answer's head was read, or the exchange broke.
-    if wire.as_ref().is_some_and(|w| !w.between_requests() && w.whole(body)) {
+    if wire.as_ref().is_some_and(|w| w.is_out(body)) {
         fleet.figures.written();
     }
     let Ok(answer) = asked else {
@@ -582,6 +606,7 @@
     use proptest::prelude::*;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
+    use tokio_util::sync::CancellationToken;
 
     #[derive(Clone, Debug)]
     enum Move {
@@ -763,6 +788,7 @@
             id: OpenIds::default().claim(HeaderValue::from_static("9b1f03aa5c7e2d41")).unwrap(),
             key: None,
             body: Bytes::from_static(b"body"),
+            left: CancellationToken::new(),
         };
         let begun = Instant::now();
         RouteStep { request: 1, attempt, forward: Arc::new(forward), begun, deadline: begun + wait }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -22,10 +22,10 @@
 use hyper_util::service::TowerToHyperService;
 use sedgestack::platform::Names;
 use sedgestack::{Effect, Micros, Request, RequestId, Settings};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, sleep_until, timeout_at, Instant, MissedTickBehavior};
+use tokio_util::sync::CancellationToken;
 
 use super::calls;
 use super::destination::LARGEST_BODY;
@@ -35,7 +35,7 @@
 use super::metrics::COUNTERS;
 use super::reuse;
 use super::shutdown::Phase;
-use super::sockets::{FrontStream, Place, Sockets, Stage};
+use super::sockets::{Downstream, FrontStream, Place, Sockets, Stage};
 use crate::say;
 
 /// A client's deadline counts from when it sent; its request took up to this long to come.
@@ -230,10 +230,11 @@
     }
 }
 
-/// Tells the module when a client goes away: the handler of its request is dropped then.
+/// Tells when a client goes away: the handler of its request is dropped then.
 struct Waiting {
     id: RequestId,
     module: mpsc::Sender<Mail>,
+    left: CancellationToken,
     answered: bool,
 }
 
@@ -242,6 +243,7 @@
         if self.answered {
             return;
         }
+        self.left.cancel();
         if let Err(mpsc::error::TrySendError::Full(mail)) = self.module.try_send(Mail::Abandoned(self.id)) {
             let module = self.module.clone();
             tokio::spawn(async move { module.send(mail).await });
@@ -267,13 +269,14 @@
     let came = Instant::now();
     let (mut parts, body) = request.into_parts();
     let place = parts.extensions.remove::<Arc<Place>>();
+    let downstream = parts.extensions.remove::<Arc<Downstream>>();
     let head = match understand(&front, &parts) {
         Ok(head) => head,
         Err(unfit) => return unfit.into_response(),
     };
     front.figures.begun();
     let mut tally = Tally { figures: &front.figures, class: head.class, status: None };
-    let response = answer(&front, came, parts, body, head, place).await;
+    let response = answer(&front, came, parts, body, head, place.zip(downstream)).await;
     tally.status = Some(response.status());
     response
 }
@@ -285,7 +288,7 @@
     parts: Parts,
     body: Body,
     head: Head,
-    place: Option<Arc<Place>>,
+    connection: Option<(Arc<Place>, Arc<Downstream>)>,
 ) -> Response {
     let body = match whole(&parts.headers, body).await {
         Ok(body) => body,
@@ -295,7 +298,7 @@
     let Some(request_id) = front.open.claim(head.id) else {
         return Unfit::AlreadyOpen.into_response();
     };
-    if let Some(place) = place {
+    if let Some((place, _)) = &connection {
         place.is(Stage::Held);
     }
     let deadline = came + head.patience.saturating_sub(ON_THE_WAY);
@@ -311,15 +314,24 @@
     };
     let path = parts.uri.into_parts().path_and_query;
     let path = path.expect("a path that was understood is there");
-    let forward = Arc::new(Forward { method: parts.method, path, id: request_id, key: head.key, body });
+    let left = CancellationToken::new();
+    let forward =
+        Forward { method: parts.method, path, id: request_id, key: head.key, body, left: left.clone() };
+    let forward = Arc::new(forward);
     let (reply, answer) = oneshot::channel();
     let origin = Origin { came, patience: head.patience, first: head.first, retry: head.retry };
     if front.module.try_send(Mail::Taken(Taken { request, forward, origin, deadline, reply })).is_err() {
         COUNTERS.turned_away_full.one();
         return busy(0);
     }
-    let mut waiting = Waiting { id, module: front.module.clone(), answered: false };
-    let reply = timeout_at(deadline - LAST_RESORT.min(head.patience), answer).await;
+    let mut waiting = Waiting { id, module: front.module.clone(), left, answered: false };
+    let answer = timeout_at(deadline - LAST_RESORT.min(head.patience), answer);
+    let reply = tokio::select! {
+        biased;
+        reply = answer => reply,
+        // The connection ends then, and this with it.
+        () = closed(connection.as_ref()) => std::future::pending().await,
+    };
     let mut response = match reply {
         Ok(Ok((reply, version))) => {
             waiting.answered = true;
@@ -347,6 +359,15 @@
     response
 }
 
+/// Waits for the client's end. Guards against sending on for nobody: the server library sees it only where nothing came
+/// behind the request.
+async fn closed(connection: Option<&(Arc<Place>, Arc<Downstream>)>) {
+    match connection {
+        Some((_, downstream)) => downstream.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// A busy reply, with the time after which to come again in seconds.
 fn busy(retry_after: Micros) -> Response {
     let mut response = StatusCode::TOO_MANY_REQUESTS.into_response();
@@ -434,13 +455,14 @@
 /// program stops, and one that comes later when the listener
 /// closes. An answer in a drain or a stop closes its socket. `_share` is let go with it.
 async fn connection(
-    mut stream: TcpStream,
+    stream: TcpStream,
     routes: Router,
     mut stopping: watch::Receiver<Phase>,
     place: Arc<Place>,
     _share: mpsc::Sender<()>,
 ) {
     calls::send_at_once(&stream, "front");
+    let downstream = Downstream::new(stream);
     let heard_by = Instant::now() + FIRST_REQUEST_WITHIN;
     let last = match *stopping.borrow() {
         Phase::Serving => Phase::Quiesced,
@@ -448,9 +470,10 @@
         Phase::Stopping | Phase::Closing => Phase::Closing,
     };
     let routes = TowerToHyperService::new(routes);
-    let (seat, refused) = (place.clone(), AtomicBool::new(false));
+    let (seat, line, refused) = (place.clone(), downstream.clone(), AtomicBool::new(false));
     let service = service_fn(|mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(seat.clone());
+        request.extensions_mut().insert(line.clone());
         let answer = routes.call(request);
         async {
             let answer = answer.await;
@@ -465,10 +488,11 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(LARGEST_HEAD)
-            .serve_connection(FrontStream::new(&mut stream, place.clone()), service);
+            .serve_connection(FrontStream::new(downstream.clone(), place.clone()), service);
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
+            () = downstream.gone() => return,
             // Guards requests on their way: a connection closed before its first byte was read turns one back
             // unheard. The answer closes it then.
             () = async {
@@ -476,28 +500,34 @@
                 sleep_until(heard_by).await;
             } => None,
         };
-        if ended.is_none() {
-            connection.as_mut().graceful_shutdown();
-        }
         match ended {
             Some(ended) => ended,
-            None => connection.await,
+            None => {
+                connection.as_mut().graceful_shutdown();
+                tokio::select! {
+                    ended = connection => ended,
+                    () = downstream.gone() => return,
+                }
+            }
         }
     };
     // Otherwise the client went away, or has had its last answer.
     if refused.load(Relaxed) || ended.is_err_and(|e| e.is_parse()) {
         place.is(Stage::Unfinished);
-        skip_rest(&mut stream).await;
+        skip_rest(&downstream).await;
     }
 }
 
 /// Reads what a client still sends after it was told an error, for it to read the error: a socket closed with
 /// bytes unread is reset. Guards against skipping without end by a count of bytes, and by the socket's stage.
-async fn skip_rest(stream: &mut TcpStream) {
-    let _ = stream.shutdown().await;
-    let (mut skipped, mut buffer) = (0, [0; 4096]);
-    while let (Ok(count @ 1..), true) = (stream.read(&mut buffer).await, skipped < MOST_SKIPPED) {
-        skipped += count;
+async fn skip_rest(downstream: &Downstream) {
+    downstream.shut();
+    let mut skipped = 0;
+    while skipped < MOST_SKIPPED {
+        match downstream.skip().await {
+            0 => return,
+            count => skipped += count,
+        }
     }
 }
 
--- a/src/net/mail.rs
+++ b/src/net/mail.rs
@@ -10,6 +10,7 @@
 use sedgestack::{BackendId, Class, CounterName, LoadReport, Micros, Outcome, Plan, Request, RequestId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::ids::OpenId;
 
@@ -21,6 +22,9 @@
     pub id: OpenId,
     pub key: Option<HeaderValue>,
     pub body: Bytes,
+    /// Cancelled the moment its client goes away or has its answer without the module. Nobody passes it on: who
+    /// holds the request sees it here at once, whatever waits in mailboxes, and begins no attempt any more.
+    pub left: CancellationToken,
 }
 
 /// What a capture tells of a request beside what the decisions need.
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -535,7 +535,9 @@
     fn send(&mut self, request: RequestId, backend: BackendId, begun: Instant, deadline: Option<Instant>) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         let attempt = open.steps.len() as u32;
-        let may = open.reply.is_some() && attempt < self.ties.max_attempts;
+        // Guards against sending on what nobody waits for: the word that its client left may still be in the mailbox.
+        let waits = open.reply.is_some() && !open.forward.left.is_cancelled();
+        let may = waits && attempt < self.ties.max_attempts;
         let handle = self.destinations.get(&backend).filter(|_| may).map(|(handle, _)| handle.clone());
         open.out += 1;
         let deadline = deadline.map_or(open.deadline, |d| d.min(open.deadline));
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -4,18 +4,24 @@
 //! A socket whose request is with the module is never closed from here.
 
 use std::collections::{BTreeSet, HashMap};
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep_until, Instant};
+use tokio_util::sync::CancellationToken;
 
 use super::calls;
 use super::metrics::{Count, COUNTERS};
@@ -40,6 +46,8 @@
     (UNFINISHED, LEAST_WAIT),
 ];
 const LEAST_WAIT: Duration = Duration::from_millis(50);
+/// Bytes read ahead at most behind a request that is with the module.
+const MOST_AHEAD: usize = 16 << 10;
 
 /// How far a front socket is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -284,26 +292,94 @@
     }
 }
 
-/// A front socket's stream, which tells its place when a request begins and when an answer is written.
-pub struct FrontStream<'a> {
-    inner: TokioIo<&'a mut TcpStream>,
+/// A client's connection. While a request of its is with the module, what comes behind the request is read ahead here:
+/// the client's end would stay unseen behind bytes that nobody reads.
+pub struct Downstream {
+    stream: Mutex<TokioIo<TcpStream>>,
+    ahead: Mutex<BytesMut>,
+    gone: CancellationToken,
+}
+
+impl Downstream {
+    /// The connection on `stream`.
+    pub fn new(stream: TcpStream) -> Arc<Downstream> {
+        let stream = Mutex::new(TokioIo::new(stream));
+        Arc::new(Downstream { stream, ahead: Mutex::default(), gone: CancellationToken::new() })
+    }
+
+    fn stream(&self) -> MutexGuard<'_, TokioIo<TcpStream>> {
+        self.stream.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ahead(&self) -> MutexGuard<'_, BytesMut> {
+        self.ahead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the client closes or resets the connection, and reads ahead meanwhile. Nobody else may await bytes.
+    /// Guards memory: behind more than `MOST_AHEAD` an end is not looked for.
+    pub async fn closed(&self) {
+        while self.ahead().len() < MOST_AHEAD {
+            let mut bytes = [MaybeUninit::uninit(); 1024];
+            let mut piece = hyper::rt::ReadBuf::uninit(&mut bytes);
+            let read = poll_fn(|cx| Pin::new(&mut *self.stream()).poll_read(cx, piece.unfilled())).await;
+            if read.is_err() || piece.filled().is_empty() {
+                return self.gone.cancel();
+            }
+            self.ahead().extend_from_slice(piece.filled());
+        }
+        std::future::pending().await
+    }
+
+    /// Waits until [`Downstream::closed`] has seen the client's end.
+    pub async fn gone(&self) {
+        self.gone.cancelled().await;
+    }
+
+    /// Writes no more.
+    pub fn shut(&self) {
+        let _ = SockRef::from(self.stream().inner()).shutdown(Shutdown::Write);
+    }
+
+    /// Reads and forgets bytes; how many came, none at the connection's end.
+    pub async fn skip(&self) -> usize {
+        let ahead = std::mem::take(&mut *self.ahead()).len();
+        if ahead > 0 {
+            return ahead;
+        }
+        let mut bytes = [MaybeUninit::uninit(); 4096];
+        let mut piece = hyper::rt::ReadBuf::uninit(&mut bytes);
+        let _ = poll_fn(|cx| Pin::new(&mut *self.stream()).poll_read(cx, piece.unfilled())).await;
+        piece.filled().len()
+    }
+}
+
+/// A client's connection as it is served, which tells its place when a request begins and when an answer is written.
+pub struct FrontStream {
+    downstream: Arc<Downstream>,
     place: Arc<Place>,
 }
 
-impl<'a> FrontStream<'a> {
-    /// The stream of the socket at `place`.
-    pub fn new(stream: &'a mut TcpStream, place: Arc<Place>) -> FrontStream<'a> {
-        FrontStream { inner: TokioIo::new(stream), place }
+impl FrontStream {
+    /// The connection at `place`.
+    pub fn new(downstream: Arc<Downstream>, place: Arc<Place>) -> FrontStream {
+        FrontStream { downstream, place }
     }
 }
 
-impl Read for FrontStream<'_> {
+impl Read for FrontStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let done = calls::told("front", "read", Pin::new(&mut self.inner).poll_read(cx, buf));
+        let mut ahead = self.downstream.ahead();
+        let done = if ahead.is_empty() {
+            calls::told("front", "read", Pin::new(&mut *self.downstream.stream()).poll_read(cx, buf))
+        } else {
+            let count = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead.split_to(count));
+            Poll::Ready(Ok(()))
+        };
         if done.is_ready() {
             self.place.goes(Stage::Idle, Stage::Unfinished);
         }
@@ -311,33 +387,33 @@
     }
 }
 
-impl Write for FrontStream<'_> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        calls::told("front", "write", Pin::new(&mut self.inner).poll_write(cx, buf))
+impl Write for FrontStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        calls::told("front", "write", Pin::new(&mut *self.downstream.stream()).poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        calls::told("front", "write", Pin::new(&mut self.inner).poll_write_vectored(cx, bufs))
+        calls::told("front", "write", Pin::new(&mut *self.downstream.stream()).poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        self.downstream.stream().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let done = Pin::new(&mut self.inner).poll_flush(cx);
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let done = Pin::new(&mut *self.downstream.stream()).poll_flush(cx);
         if matches!(done, Poll::Ready(Ok(()))) {
             self.place.goes(Stage::Answering, Stage::Idle);
         }
         done
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.downstream.stream()).poll_shutdown(cx)
     }
 }
 
--- /dev/null
+++ b/tests/common/script.rs
@@ -0,0 +1,50 @@
+//! Peers that force an order of events on loopback, and barriers on what was observed.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use socket2::{Domain, SockRef, Socket, Type};
+
+/// A listener whose queue is full: connections to it neither come up nor are refused, until it is opened.
+pub struct Unopened {
+    socket: Socket,
+    filling: Vec<TcpStream>,
+    pub address: SocketAddr,
+}
+
+impl Unopened {
+    pub fn listen() -> Unopened {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let loopback: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&loopback.into()).expect("loopback has a port");
+        socket.listen(0).expect("it listens");
+        let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("it is bound");
+        // Connections come up until the queue is full; the first that does not shows that it is.
+        let mut filling = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
+            filling.push(stream);
+        }
+        Unopened { socket, filling, address }
+    }
+
+    /// From now on connections come up, also those that wait.
+    pub fn open(self) -> TcpListener {
+        self.socket.listen(128).expect("it listens");
+        let listener = TcpListener::from(self.socket);
+        for filling in self.filling {
+            drop((listener.accept().expect("it waits"), filling));
+        }
+        listener
+    }
+}
+
+/// Ends a connection by a reset.
+pub fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("linger is known");
+}
+
+/// The figure of `name` in a line of counters.
+pub fn figure(counters: &str, name: &str) -> u64 {
+    let told = counters.split_whitespace().find_map(|c| c.strip_prefix(name)?.strip_prefix('='));
+    told.and_then(|t| t.parse().ok()).unwrap_or_else(|| panic!("no {name} in {counters}"))
+}
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -9,10 +9,12 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
+use crate::script::figure;
+
 /// A test that has hung for this long has failed; no verdict depends on it otherwise.
 pub const HUNG: Duration = Duration::from_secs(60);
 
@@ -62,7 +64,11 @@
 
 /// Listens on loopback and runs `script` on a thread for each connection.
 pub fn listen(script: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a port");
+    listen_on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), script)
+}
+
+/// Runs `script` on a thread for each connection that comes up.
+pub fn listen_on(listener: TcpListener, script: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let address = listener.local_addr().expect("it is bound");
     let script = Arc::new(script);
     thread::spawn(move || {
@@ -91,10 +97,14 @@
 
 impl Destination {
     pub fn start(script: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Destination {
+        Destination::on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), script)
+    }
+
+    pub fn on(listener: TcpListener, script: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Destination {
         let seen = Arc::new(Mutex::new(Vec::new()));
         let count = Arc::new(AtomicU32::new(0));
         let (kept, counted) = (seen.clone(), count.clone());
-        let address = listen(move |mut stream| {
+        let address = listen_on(listener, move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
             while let Some(message) = read_message(&mut reader) {
                 kept.lock().expect("no script panics").push(message);
@@ -355,6 +365,24 @@
         wait_for(&mut self.log, "counters:")
     }
 
+    /// One of the counters.
+    pub fn count(&mut self, name: &str) -> u64 {
+        figure(&self.counters(), name)
+    }
+
+    /// Waits until the counters are as `observed` wants them.
+    pub fn until(&mut self, observed: impl Fn(&dyn Fn(&str) -> u64) -> bool) {
+        let begun = Instant::now();
+        loop {
+            let counters = self.counters();
+            if observed(&|name| figure(&counters, name)) {
+                return;
+            }
+            assert!(begun.elapsed() < HUNG, "it never came to it: {counters}");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// How the program ended, and what it had left to say.
     pub fn end(mut self) -> (ExitStatus, String) {
         let mut rest = String::new();
@@ -398,6 +426,10 @@
         while self.reader.get_mut().write_all(bytes).is_ok() {}
     }
 
+    pub fn into_stream(self) -> TcpStream {
+        self.reader.into_inner()
+    }
+
     /// The next answer; `None` where the limiter closes without one.
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.reader)
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -1,10 +1,13 @@
 //! The built program on loopback sockets, among scripted peers.
 
+mod client_leaves;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod filter;
 mod harness;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod registers;
+#[path = "../common/script.rs"]
+mod script;
 mod size;
 mod upgrade;
 
