--- a/src/main.rs
+++ b/src/main.rs
@@ -154,7 +154,7 @@
     let longest = config::span(config.limits.longest_deadline);
     let front = front::Front::new(config.names, &config.settings, longest, ready, stopping, module, figures);
     tokio::select! {
-        served = front::serve(config.listen, config.front_sockets, front) => {
+        served = front::serve(config.listen, config.downstream_connections, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
         }
         () = signals.follow(phase, moves, longest) => Ok(()),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -11,7 +11,7 @@
 
 use super::addresses::Addresses;
 use super::cordons;
-use super::pool::{Change, WireList};
+use super::endpoints::{Change, WireList};
 
 /// Descriptors kept free of front and destination sockets: the list, the counter, peers, the runtime.
 const RESERVED_SOCKETS: usize = 40;
@@ -32,7 +32,7 @@
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
     pub seed: u64,
-    pub front_sockets: usize,
+    pub downstream_connections: usize,
     pub destination_sockets: usize,
     pub known: Change,
     pub settings: Settings,
@@ -153,7 +153,7 @@
         peers: file.peers,
         peers_all: file.peers_all,
         seed,
-        front_sockets: sockets - destination_sockets,
+        downstream_connections: sockets - destination_sockets,
         destination_sockets,
         known: file.known.into(),
         settings,
--- a/src/net/cordons.rs
+++ b/src/net/cordons.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{mpsc, oneshot, Mutex};
 use tokio::time::{interval, MissedTickBehavior};
 
-use super::mail::Control;
+use super::message::Control;
 use super::metrics::COUNTERS;
 use crate::say;
 
--- a/src/net/counter.rs
+++ b/src/net/counter.rs
@@ -14,7 +14,7 @@
 
 use super::addresses::Addresses;
 use super::calls;
-use super::mail::{Counted, Mail};
+use super::message::{Counted, Message};
 use super::metrics::COUNTERS;
 use crate::say;
 
@@ -174,7 +174,7 @@
     here: Option<SocketAddr>,
     connect_wait: Duration,
     mailbox: mpsc::Receiver<Call>,
-    module: mpsc::Sender<Mail>,
+    module: mpsc::Sender<Message>,
 }
 
 impl Counter {
@@ -184,7 +184,7 @@
         addresses: watch::Receiver<Addresses>,
         connect_wait: Duration,
         mailbox: mpsc::Receiver<Call>,
-        module: mpsc::Sender<Mail>,
+        module: mpsc::Sender<Message>,
     ) -> Counter {
         Counter { addresses, here: None, connect_wait, mailbox, module }
     }
@@ -333,7 +333,7 @@
 }
 
 /// Waits for the answers that a connection left for another one still owes, as long as somebody does.
-async fn finish(mut stream: TcpStream, mut talk: Talk, module: mpsc::Sender<Mail>) {
+async fn finish(mut stream: TcpStream, mut talk: Talk, module: mpsc::Sender<Message>) {
     let (mut ends, mut input) = (Vec::new(), [0u8; 1024]);
     while let Some(deadline) = talk.next_deadline() {
         tokio::select! {
@@ -349,7 +349,7 @@
     tell(&module, &mut ends).await;
 }
 
-async fn tell(module: &mpsc::Sender<Mail>, ends: &mut Vec<Counted>) {
+async fn tell(module: &mpsc::Sender<Message>, ends: &mut Vec<Counted>) {
     for end in ends.drain(..) {
         match end.outcome {
             Outcome::Ok => &COUNTERS.counter_ok,
@@ -359,7 +359,7 @@
         }
         .one();
         // The module never waits for this actor, so this wait ends.
-        let _ = module.send(Mail::Counted(end)).await;
+        let _ = module.send(Message::Counted(end)).await;
     }
 }
 
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -1,4 +1,4 @@
-//! The actor of one destination: its route steps, its pool of connections, its probes.
+//! The actor of one destination: its attempts, its pool of connections, its probes.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -30,14 +30,14 @@
 
 use super::calls;
 use super::figures::Figures;
-use super::mail::{Forward, Mail, StepEnd};
+use super::message::{AttemptEnd, Forward, Message};
 use super::metrics::COUNTERS;
 
 /// The largest body that the platform knows.
 pub const LARGEST_BODY: usize = 64 << 10;
 /// A head longer than this is no answer's.
 const LARGEST_HEAD: usize = 64 << 10;
-/// Route steps that may wait in a destination's mailbox.
+/// Attempts that may wait in a destination's mailbox.
 const MAILBOX: usize = 1024;
 /// Idle connections are retired after this part of the time at which the other side closes them.
 const RETIRE: u32 = 3;
@@ -51,9 +51,9 @@
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// One attempt at a request.
-pub struct RouteStep {
+pub struct Attempt {
     pub request: RequestId,
-    pub attempt: u32,
+    pub number: u32,
     pub forward: Arc<Forward>,
     pub begun: Instant,
     pub deadline: Instant,
@@ -61,7 +61,7 @@
 
 /// What a destination is asked to do.
 pub enum Order {
-    Step(RouteStep),
+    Attempt(Attempt),
     Cancel { request: RequestId, attempt: u32 },
     Probe { begun: Instant, deadline: Instant },
 }
@@ -73,7 +73,7 @@
     pub keepalive: Duration,
     /// Descriptors for connections to destinations.
     pub sockets: Arc<Semaphore>,
-    pub module: mpsc::Sender<Mail>,
+    pub module: mpsc::Sender<Message>,
     pub figures: Arc<Figures>,
 }
 
@@ -135,7 +135,7 @@
     }
 
     /// Guards drains: a request that waited for its connection while the destination began to drain must
-    /// not begin to be written. Its route step ends as never sent.
+    /// not begin to be written. Its attempt ends as never sent.
     fn may_write(&self, closed: bool) -> bool {
         !(closed && self.between_requests())
     }
@@ -302,7 +302,7 @@
     }
 
     /// Takes a connection that came up into use. Guards it: one that refuses an option set for speed alone
-    /// serves all the same, and to drop it would be to dial for every route step.
+    /// serves all the same, and to drop it would be to dial for every attempt.
     fn counted(self, stream: TcpStream, descriptor: OwnedSemaphorePermit) -> Counted {
         calls::send_at_once(&stream, self.addr);
         let inner = TokioIo::new(stream);
@@ -332,7 +332,7 @@
 }
 
 type Pool = Client<Dialer, Full<Bytes>>;
-type Step = Pin<Box<dyn Future<Output = ((RequestId, u32), Instant, Result<StepEnd, Aborted>)> + Send>>;
+type Running = Pin<Box<dyn Future<Output = ((RequestId, u32), Instant, Result<AttemptEnd, Aborted>)> + Send>>;
 type Probe = Pin<Box<dyn Future<Output = (Instant, Outcome, LoadReport)> + Send>>;
 
 struct Destination {
@@ -341,7 +341,7 @@
     authority: Authority,
     closed: Arc<AtomicBool>,
     fleet: Arc<Fleet>,
-    steps: FuturesUnordered<Step>,
+    attempts: FuturesUnordered<Running>,
     cancels: HashMap<(RequestId, u32), AbortHandle>,
     probes: FuturesUnordered<Probe>,
 }
@@ -351,7 +351,7 @@
         let authority = dialer.addr.to_string().try_into().expect("an address is an authority");
         let closed = dialer.closed.clone();
         // Spare connections: where one becomes free while another is dialled, the client goes on with the
-        // dial and keeps it. It is used by the next step or retired; `dials` against `steps` shows them.
+        // dial and keeps it. It is used by the next attempt or retired; `dials` against `attempts` shows them.
         let pool = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(fleet.keepalive / RETIRE)
@@ -364,7 +364,7 @@
             authority,
             closed,
             fleet,
-            steps: FuturesUnordered::new(),
+            attempts: FuturesUnordered::new(),
             cancels: HashMap::new(),
             probes: FuturesUnordered::new(),
         }
@@ -372,20 +372,20 @@
 
     async fn run(mut self, mut mailbox: mpsc::Receiver<Order>) {
         let mut open = true;
-        while open || !self.steps.is_empty() || !self.probes.is_empty() {
+        while open || !self.attempts.is_empty() || !self.probes.is_empty() {
             tokio::select! {
                 order = mailbox.recv(), if open => match order {
                     Some(order) => self.take(order),
                     None => open = false,
                 },
-                Some((key, begun, end)) = self.steps.next(), if !self.steps.is_empty() => {
+                Some((key, begun, end)) = self.attempts.next(), if !self.attempts.is_empty() => {
                     self.cancels.remove(&key);
-                    let canceled = |_| StepEnd::bare(key.0, key.1, Outcome::Canceled, begun.elapsed());
+                    let canceled = |_| AttemptEnd::bare(key.0, key.1, Outcome::Canceled, begun.elapsed());
                     tell(&self.fleet.module, end.unwrap_or_else(canceled)).await;
                 }
                 Some((begun, outcome, report)) = self.probes.next(), if !self.probes.is_empty() => {
                     let (backend, latency) = (self.backend.clone(), begun.elapsed());
-                    let _ = self.fleet.module.send(Mail::Probed { backend, outcome, latency, report }).await;
+                    let _ = self.fleet.module.send(Message::Probed { backend, outcome, latency, report }).await;
                 }
             }
         }
@@ -393,12 +393,12 @@
 
     fn take(&mut self, order: Order) {
         match order {
-            Order::Step(step) => {
-                COUNTERS.steps.one();
-                let (key, begun) = ((step.request, step.attempt), step.begun);
-                let (work, cancel) = abortable(self.step(step));
+            Order::Attempt(attempt) => {
+                COUNTERS.attempts.one();
+                let (key, begun) = ((attempt.request, attempt.number), attempt.begun);
+                let (work, cancel) = abortable(self.attempt(attempt));
                 self.cancels.insert(key, cancel);
-                self.steps.push(Box::pin(async move { (key, begun, work.await) }));
+                self.attempts.push(Box::pin(async move { (key, begun, work.await) }));
             }
             Order::Cancel { request, attempt } => {
                 if let Some(cancel) = self.cancels.get(&(request, attempt)) {
@@ -417,8 +417,8 @@
     }
 
     /// What an attempt writes.
-    fn request(authority: &Authority, step: &RouteStep) -> Request<Full<Bytes>> {
-        let forward = &step.forward;
+    fn request(authority: &Authority, attempt: &Attempt) -> Request<Full<Bytes>> {
+        let forward = &attempt.forward;
         let mut request = Request::new(Full::new(forward.body.clone()));
         *request.method_mut() = forward.method.clone();
         *request.uri_mut() = uri(authority, forward.path.clone());
@@ -427,7 +427,7 @@
         if let Some(key) = &forward.key {
             headers.insert(IDEMPOTENCY_KEY, key.clone());
         }
-        let left = step.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let left = attempt.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
         headers.insert(X_DEADLINE_MS, HeaderValue::from(left));
         if forward.method != Method::GET {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
@@ -437,27 +437,27 @@
 
     /// One attempt, from finding a connection to the answer's last byte. Its deadline, and a cancel, drop
     /// the exchange, and the client closes a connection whose exchange was dropped.
-    fn step(&self, step: RouteStep) -> impl Future<Output = StepEnd> + Send + 'static {
+    fn attempt(&self, attempt: Attempt) -> impl Future<Output = AttemptEnd> + Send + 'static {
         let (pool, authority) = (self.pool.clone(), self.authority.clone());
         let (fleet, closed) = (self.fleet.clone(), self.closed.clone());
         async move {
-            let mut end = StepEnd::bare(step.request, step.attempt, Outcome::NotSent, Duration::ZERO);
-            // Guards drains: a step may have waited in the mailbox while its destination began to drain, or its
+            let mut end = AttemptEnd::bare(attempt.request, attempt.number, Outcome::NotSent, Duration::ZERO);
+            // Guards drains: an attempt may have waited in the mailbox while its destination began to drain, or its
             // client went away.
-            while !closed.load(Relaxed) && !step.forward.left.is_cancelled() {
-                let mut request = Self::request(&authority, &step);
+            while !closed.load(Relaxed) && !attempt.forward.left.is_cancelled() {
+                let mut request = Self::request(&authority, &attempt);
                 let used = capture_connection(&mut request);
-                let body = step.forward.body.len();
+                let body = attempt.forward.body.len();
                 let ended = {
                     let exchange = exchange(&pool, request, &used, body, &fleet, &mut end);
-                    let exchange = timeout_at(step.deadline, exchange);
+                    let exchange = timeout_at(attempt.deadline, exchange);
                     tokio::pin!(exchange);
                     tokio::select! {
                         biased;
                         ended = &mut exchange => Some(ended),
                         // Guards against beginning, or going on to write, what nobody waits for: a dial may be late
                         // by seconds. What was written whole runs, and its end is waited for.
-                        () = step.forward.left.cancelled() => match wire(&used).is_some_and(|w| w.is_out(body)) {
+                        () = attempt.forward.left.cancelled() => match wire(&used).is_some_and(|w| w.is_out(body)) {
                             true => Some(exchange.await),
                             false => None,
                         },
@@ -472,7 +472,7 @@
                     // Guards against blaming a destination for a connection that ended while it stood idle:
                     // nothing was written to it, and there are others.
                     Ok(Outcome::ConnectFailed) if wire(&used).is_some_and(|w| w.ended_idle()) => {
-                        COUNTERS.steps_redialled.one();
+                        COUNTERS.attempts_redialled.one();
                         continue;
                     }
                     // Guards against blaming a destination for want of descriptors here.
@@ -487,7 +487,7 @@
                 };
                 break;
             }
-            end.latency = step.begun.elapsed();
+            end.latency = attempt.begun.elapsed();
             end
         }
     }
@@ -518,21 +518,21 @@
     Uri::from_parts(parts).expect("scheme, authority and path make an address")
 }
 
-/// Tells the module how a route step ended.
-async fn tell(module: &mpsc::Sender<Mail>, end: StepEnd) {
+/// Tells the module how an attempt ended.
+async fn tell(module: &mpsc::Sender<Message>, end: AttemptEnd) {
     match end.outcome {
-        Outcome::Ok => &COUNTERS.steps_ok,
-        Outcome::Error => &COUNTERS.steps_error,
-        Outcome::Rejected => &COUNTERS.steps_rejected,
-        Outcome::TimedOut => &COUNTERS.steps_timed_out,
-        Outcome::ConnectFailed => &COUNTERS.steps_connect_failed,
-        Outcome::Reset => &COUNTERS.steps_reset,
-        Outcome::Canceled => &COUNTERS.steps_canceled,
-        Outcome::NotSent => &COUNTERS.steps_not_sent,
+        Outcome::Ok => &COUNTERS.attempts_ok,
+        Outcome::Error => &COUNTERS.attempts_error,
+        Outcome::Rejected => &COUNTERS.attempts_rejected,
+        Outcome::TimedOut => &COUNTERS.attempts_timed_out,
+        Outcome::ConnectFailed => &COUNTERS.attempts_connect_failed,
+        Outcome::Reset => &COUNTERS.attempts_reset,
+        Outcome::Canceled => &COUNTERS.attempts_canceled,
+        Outcome::NotSent => &COUNTERS.attempts_not_sent,
     }
     .one();
     // The module never waits for a destination, so this wait ends.
-    let _ = module.send(Mail::StepEnded(end)).await;
+    let _ = module.send(Message::AttemptEnded(end)).await;
 }
 
 /// The state of the connection that a request was given, if it was given one.
@@ -548,7 +548,7 @@
     used: &CaptureConnection,
     body: usize,
     fleet: &Fleet,
-    end: &mut StepEnd,
+    end: &mut AttemptEnd,
 ) -> Outcome {
     let names = &fleet.names;
     let asked = pool.request(request).await;
--- a/src/net/destination/tests.rs
+++ b/src/net/destination/tests.rs
@@ -178,7 +178,7 @@
     }
 }
 
-fn a_step(conduct: Conduct, attempt: u32, wait: Duration) -> RouteStep {
+fn an_attempt(conduct: Conduct, number: u32, wait: Duration) -> Attempt {
     let forward = Forward {
         method: Method::POST,
         path: format!("/{conduct:?}").try_into().unwrap(),
@@ -188,12 +188,12 @@
         left: CancellationToken::new(),
     };
     let begun = Instant::now();
-    RouteStep { request: 1, attempt, forward: Arc::new(forward), begun, deadline: begun + wait }
+    Attempt { request: 1, number, forward: Arc::new(forward), begun, deadline: begun + wait }
 }
 
 const LONG: Duration = Duration::from_secs(60);
 
-fn fleet() -> (Arc<Fleet>, mpsc::Receiver<Mail>) {
+fn fleet() -> (Arc<Fleet>, mpsc::Receiver<Message>) {
     let (module, mail) = mpsc::channel(64);
     let sockets = Arc::new(Semaphore::new(8));
     let names = Names::new(["read"], ["small"], ["util"]);
@@ -201,15 +201,15 @@
     (Arc::new(Fleet { names, connect_wait: LONG, keepalive: LONG, sockets, module, figures }), mail)
 }
 
-async fn end(mail: &mut mpsc::Receiver<Mail>) -> StepEnd {
+async fn end(mail: &mut mpsc::Receiver<Message>) -> AttemptEnd {
     match mail.recv().await {
-        Some(Mail::StepEnded(end)) => end,
-        _ => panic!("a destination tells how steps ended"),
+        Some(Message::AttemptEnded(end)) => end,
+        _ => panic!("a destination tells how attempts ended"),
     }
 }
 
 /// A destination's actor before a scripted listener: what the listener tells, and the module's mail.
-async fn scripted() -> (Handle, mpsc::UnboundedReceiver<&'static str>, mpsc::Receiver<Mail>, AbortHandle) {
+async fn scripted() -> (Handle, mpsc::UnboundedReceiver<&'static str>, mpsc::Receiver<Message>, AbortHandle) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let (told, news) = mpsc::unbounded_channel();
@@ -219,7 +219,7 @@
     (Handle::start("s-1".into(), addr, fleet), news, mail, end)
 }
 
-/// Plays steps one after another; the model knows whether a connection stands.
+/// Plays attempts one after another; the model knows whether a connection stands.
 async fn play(conducts: Vec<Conduct>) {
     let (handle, mut news, mut mail, served) = scripted().await;
     let mut stands = false;
@@ -230,7 +230,7 @@
             continue;
         }
         let wait = if conduct == Silent { Duration::from_millis(5) } else { LONG };
-        assert!(handle.order(Order::Step(a_step(conduct, attempt, wait))));
+        assert!(handle.order(Order::Attempt(an_attempt(conduct, attempt, wait))));
         if !stands {
             assert_eq!(news.recv().await, Some("accepted"), "{conduct:?}");
         }
@@ -252,7 +252,7 @@
         stands = again;
     }
     handle.close();
-    handle.order(Order::Step(a_step(Serve, 99, LONG)));
+    handle.order(Order::Attempt(an_attempt(Serve, 99, LONG)));
     assert_eq!(end(&mut mail).await.outcome, Outcome::NotSent, "it drains");
     assert!(news.try_recv().is_err());
     served.abort();
@@ -260,10 +260,10 @@
 
 proptest! {
     #![proptest_config(fixed(48))]
-    /// Route steps on real sockets: each ends as what the destination did proves, on the connection that
+    /// Attempts on real sockets: each ends as what the destination did proves, on the connection that
     /// stands or on a new one.
     #[test]
-    fn steps_end_as_their_destination_did(
+    fn attempts_end_as_their_destination_did(
         conducts in prop::collection::vec(
             prop::sample::select(ALL.to_vec()),
             1..12,
@@ -283,11 +283,11 @@
     let addr = listener.local_addr().unwrap();
     let dialer = Dialer { addr, closed: closed.clone(), fleet: fleet.clone() };
     let destination = Destination::new("s-1".into(), dialer, fleet);
-    let step = destination.step(a_step(Serve, 0, LONG));
-    tokio::pin!(step);
-    assert!(futures_util::poll!(step.as_mut()).is_pending(), "it dials");
+    let attempt = destination.attempt(an_attempt(Serve, 0, LONG));
+    tokio::pin!(attempt);
+    assert!(futures_util::poll!(attempt.as_mut()).is_pending(), "it dials");
     closed.store(true, Relaxed);
-    assert_eq!(step.await.outcome, Outcome::NotSent);
+    assert_eq!(attempt.await.outcome, Outcome::NotSent);
     let (mut stream, _) = listener.accept().await.unwrap();
     drop(destination);
     assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0, "nothing was written");
@@ -301,7 +301,7 @@
     let handle = Handle::start("s-1".into(), listener.local_addr().unwrap(), fleet);
     let mut streams = Vec::new();
     for (attempt, answer) in [b"ok", b"no"].into_iter().enumerate() {
-        handle.order(Order::Step(a_step(Serve, attempt as u32, LONG)));
+        handle.order(Order::Attempt(an_attempt(Serve, attempt as u32, LONG)));
         let (mut stream, _) = tokio::select! {
             accepted = listener.accept() => accepted.unwrap(),
             end = end(&mut mail) => panic!("answered by what came before: {end:?}"),
@@ -318,12 +318,12 @@
     }
 }
 
-/// Connections at a server are scarce and a new one costs: steps that follow each other share one.
+/// Connections at a server are scarce and a new one costs: attempts that follow each other share one.
 #[tokio::test]
-async fn route_steps_one_after_another_use_one_connection() {
+async fn attempts_one_after_another_use_one_connection() {
     let (handle, mut news, mut mail, served) = scripted().await;
     for attempt in 0..20 {
-        handle.order(Order::Step(a_step(Serve, attempt, LONG)));
+        handle.order(Order::Attempt(an_attempt(Serve, attempt, LONG)));
         assert_eq!(end(&mut mail).await.outcome, Outcome::Ok);
     }
     let mut all = Vec::new();
@@ -368,24 +368,24 @@
     assert_eq!(&head, b"GET /health ");
     stream.write_all(Serve.answer()).await.unwrap();
     match mail.recv().await {
-        Some(Mail::Probed { outcome: Outcome::Ok, report, .. }) => {
+        Some(Message::Probed { outcome: Outcome::Ok, report, .. }) => {
             assert_eq!(report.utilization, Some(0.5))
         }
         _ => panic!("a probe that was answered"),
     }
 }
 
-/// A destination that never lets a connection come up ends a step as proved never to have run.
+/// A destination that never lets a connection come up ends an attempt as proved never to have run.
 #[tokio::test]
 async fn a_dial_that_cannot_be_made_proves_that_nothing_ran() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (fleet, mut mail) = fleet();
     let all = fleet.sockets.clone().acquire_many_owned(8).await.unwrap();
     let handle = Handle::start("s-1".into(), listener.local_addr().unwrap(), fleet);
-    handle.order(Order::Step(a_step(Serve, 0, LONG)));
+    handle.order(Order::Attempt(an_attempt(Serve, 0, LONG)));
     assert_eq!(end(&mut mail).await.outcome, Outcome::NotSent, "no descriptor is left");
     drop((all, listener));
-    handle.order(Order::Step(a_step(Serve, 1, LONG)));
+    handle.order(Order::Attempt(an_attempt(Serve, 1, LONG)));
     assert_eq!(end(&mut mail).await.outcome, Outcome::ConnectFailed, "nobody listens");
 }
 
--- a/src/net/sockets.rs
+++ b/src/net/downstream.rs
@@ -1,4 +1,4 @@
-//! The front sockets that are open: how far each is with its request, and which one is closed when its time
+//! The downstream connections that are open: how far each is with its request, and which one is closed when its time
 //! is up or room runs short.
 //!
 //! A socket whose request is with the module is never closed from here.
@@ -49,7 +49,7 @@
 /// Bytes read ahead at most behind a request that is with the module.
 const MOST_AHEAD: usize = 16 << 10;
 
-/// How far a front socket is.
+/// How far a downstream connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// A request is awaited on a new socket or has come in part; or an error was told and the rest is skipped.
@@ -66,9 +66,9 @@
     /// How long a socket may stay there, and what counts those that stayed longer.
     fn limit(self) -> Option<(Duration, &'static Count)> {
         match self {
-            Stage::Unfinished => Some((LONGEST_REQUEST, &COUNTERS.front_closed_unfinished)),
-            Stage::Idle => Some((LONGEST_REST, &COUNTERS.front_closed_idle)),
-            Stage::Answering => Some((LONGEST_ANSWER, &COUNTERS.front_closed_unread)),
+            Stage::Unfinished => Some((LONGEST_REQUEST, &COUNTERS.downstream_closed_unfinished)),
+            Stage::Idle => Some((LONGEST_REST, &COUNTERS.downstream_closed_idle)),
+            Stage::Answering => Some((LONGEST_ANSWER, &COUNTERS.downstream_closed_unread)),
             Stage::Held => None,
         }
     }
@@ -184,17 +184,17 @@
     }
 }
 
-/// The front sockets of the program, `most` at a time.
-pub struct Sockets {
+/// The downstream connections of the program, `most` at a time.
+pub struct Connections {
     most: usize,
     table: Mutex<Table>,
     freed: Notify,
 }
 
-impl Sockets {
+impl Connections {
     /// None yet.
-    pub fn new(most: usize) -> Arc<Sockets> {
-        Arc::new(Sockets { most, table: Mutex::default(), freed: Notify::new() })
+    pub fn new(most: usize) -> Arc<Connections> {
+        Arc::new(Connections { most, table: Mutex::default(), freed: Notify::new() })
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
@@ -232,7 +232,8 @@
         match room {
             Room::Instead(id) if looked == Some(id) => {
                 let idle = table.open.get(&id).is_some_and(|e| e.stage == Stage::Idle);
-                (if idle { &COUNTERS.front_room_idle } else { &COUNTERS.front_room_unfinished }).one();
+                (if idle { &COUNTERS.downstream_room_idle } else { &COUNTERS.downstream_room_unfinished })
+                    .one();
                 table.close(id);
                 table.room(self.most, now)
             }
@@ -251,15 +252,15 @@
     }
 
     /// A socket that was accepted.
-    pub fn enter(self: &Arc<Sockets>) -> Arc<Place> {
+    pub fn enter(self: &Arc<Connections>) -> Arc<Place> {
         let id = self.table().enter(Instant::now());
         Arc::new(Place { sockets: self.clone(), id })
     }
 }
 
-/// A front socket's place; it is left when this is dropped.
+/// A downstream connection's place; it is left when this is dropped.
 pub struct Place {
-    sockets: Arc<Sockets>,
+    sockets: Arc<Connections>,
     id: u64,
 }
 
@@ -354,19 +355,19 @@
 }
 
 /// A client's connection as it is served, which tells its place when a request begins and when an answer is written.
-pub struct FrontStream {
+pub struct DownstreamIo {
     downstream: Arc<Downstream>,
     place: Arc<Place>,
 }
 
-impl FrontStream {
+impl DownstreamIo {
     /// The connection at `place`.
-    pub fn new(downstream: Arc<Downstream>, place: Arc<Place>) -> FrontStream {
-        FrontStream { downstream, place }
+    pub fn new(downstream: Arc<Downstream>, place: Arc<Place>) -> DownstreamIo {
+        DownstreamIo { downstream, place }
     }
 }
 
-impl Read for FrontStream {
+impl Read for DownstreamIo {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -387,7 +388,7 @@
     }
 }
 
-impl Write for FrontStream {
+impl Write for DownstreamIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         calls::told("front", "write", Pin::new(&mut *self.downstream.stream()).poll_write(cx, buf))
     }
--- a/src/net/pool.rs
+++ b/src/net/endpoints.rs
@@ -1,4 +1,4 @@
-//! The pool config: discovery's words for it, and the change of it that the module is told.
+//! The endpoints: discovery's words for it, and the change of it that the module is told.
 
 use std::net::SocketAddr;
 
@@ -9,7 +9,7 @@
 use super::metrics::COUNTERS;
 use crate::say;
 
-/// A pool config as discovery words it: the whole, or the entries that changed.
+/// A endpoints as discovery words it: the whole, or the entries that changed.
 #[derive(Deserialize)]
 pub struct WireList<S = WireServer> {
     version: u64,
@@ -57,7 +57,7 @@
     Gone,
 }
 
-/// A change of the pool config.
+/// A change of the endpoints.
 #[derive(Clone)]
 pub struct Change {
     pub version: u64,
@@ -68,7 +68,7 @@
     pub entries: Vec<Entry>,
 }
 
-/// A destination in the pool config and where to reach it.
+/// A destination in the endpoints and where to reach it.
 #[derive(Clone)]
 pub struct Entry {
     pub listed: Listed,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,4 +1,4 @@
-//! The front sockets: the platform's requests in, final answers out.
+//! The downstream connections: the platform's requests in, final answers out.
 
 use std::io;
 use std::net::SocketAddr;
@@ -29,13 +29,13 @@
 
 use super::calls;
 use super::destination::LARGEST_BODY;
+use super::downstream::{Connections, Downstream, DownstreamIo, Place, Stage};
 use super::figures::Figures;
 use super::ids::OpenIds;
-use super::mail::{Forward, Mail, Origin, Reply, Taken};
+use super::message::{Forward, Message, Origin, Reply, Taken};
 use super::metrics::COUNTERS;
 use super::reuse;
 use super::shutdown::Phase;
-use super::sockets::{Downstream, FrontStream, Place, Sockets, Stage};
 use crate::say;
 
 /// A client's deadline counts from when it sent; its request took up to this long to come.
@@ -46,7 +46,7 @@
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// Bytes skipped at most after an error was told, for the client to have read it.
 const MOST_SKIPPED: usize = 1 << 20;
-/// Bytes of a request held unread at once: bounds memory over all front sockets.
+/// Bytes of a request held unread at once: bounds memory over all downstream connections.
 const LARGEST_HEAD: usize = 64 << 10;
 /// The version of the rules that a request was taken under, where limiters agree on versions.
 const X_RULES: HeaderName = HeaderName::from_static("x-rules");
@@ -57,13 +57,13 @@
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 
-/// What the front sockets share.
+/// What the downstream connections share.
 pub struct Front {
     names: Names,
     effects: Vec<Effect>,
     ready: Arc<AtomicBool>,
     stopping: watch::Receiver<Phase>,
-    module: mpsc::Sender<Mail>,
+    module: mpsc::Sender<Message>,
     next: AtomicU64,
     /// What a request may say: units and customers' sets within the settings, a deadline no later than theirs.
     most_units: f64,
@@ -75,14 +75,14 @@
 }
 
 impl Front {
-    /// Front sockets for the classes and plans of `settings`, before the mailbox of `module`.
+    /// Downstream connections for the classes and plans of `settings`, before the mailbox of `module`.
     pub fn new(
         names: Names,
         settings: &Settings,
         longest_deadline: Duration,
         ready: Arc<AtomicBool>,
         stopping: watch::Receiver<Phase>,
-        module: mpsc::Sender<Mail>,
+        module: mpsc::Sender<Message>,
         figures: Arc<Figures>,
     ) -> Front {
         let effects = settings.classes.iter().map(|c| c.effect).collect();
@@ -233,7 +233,7 @@
 /// Tells when a client goes away: the handler of its request is dropped then.
 struct Waiting {
     id: RequestId,
-    module: mpsc::Sender<Mail>,
+    module: mpsc::Sender<Message>,
     left: CancellationToken,
     answered: bool,
 }
@@ -244,7 +244,8 @@
             return;
         }
         self.left.cancel();
-        if let Err(mpsc::error::TrySendError::Full(mail)) = self.module.try_send(Mail::Abandoned(self.id)) {
+        if let Err(mpsc::error::TrySendError::Full(mail)) = self.module.try_send(Message::Abandoned(self.id))
+        {
             let module = self.module.clone();
             tokio::spawn(async move { module.send(mail).await });
         }
@@ -320,9 +321,9 @@
     let forward = Arc::new(forward);
     let (reply, answer) = oneshot::channel();
     let origin = Origin { came, patience: head.patience, first: head.first, retry: head.retry };
-    if front.module.try_send(Mail::Taken(Taken { request, forward, origin, deadline, reply })).is_err() {
+    if front.module.try_send(Message::Taken(Taken { request, forward, origin, deadline, reply })).is_err() {
         COUNTERS.turned_away_full.one();
-        return busy(0);
+        return rejection(0);
     }
     let mut waiting = Waiting { id, module: front.module.clone(), left, answered: false };
     let answer = timeout_at(deadline - LAST_RESORT.min(head.patience), answer);
@@ -337,7 +338,7 @@
             waiting.answered = true;
             let mut response = match reply {
                 Reply::Served(body) => Response::new(Body::from(body)),
-                Reply::Busy { retry_after } => busy(retry_after),
+                Reply::Rejected { retry_after } => rejection(retry_after),
                 Reply::Failed => StatusCode::BAD_GATEWAY.into_response(),
             };
             if let Some(version) = version {
@@ -368,8 +369,8 @@
     }
 }
 
-/// A busy reply, with the time after which to come again in seconds.
-fn busy(retry_after: Micros) -> Response {
+/// A rejection, with the time after which to come again in seconds.
+fn rejection(retry_after: Micros) -> Response {
     let mut response = StatusCode::TOO_MANY_REQUESTS.into_response();
     if retry_after > 0 {
         let seconds = format!("{:.3}", retry_after.max(1_000) as f64 / 1e6);
@@ -392,7 +393,7 @@
     Router::new().route("/ready", get(ready)).fallback(take).with_state(Arc::new(front))
 }
 
-/// Binds the front socket's address with SO_REUSEPORT, so that the process that replaces this one can
+/// Binds the downstream connection's address with SO_REUSEPORT, so that the process that replaces this one can
 /// listen beside it. Errors: the address can't be bound.
 fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     let listener = reuse::listener(listen)?;
@@ -400,15 +401,15 @@
     Ok(listener)
 }
 
-/// Accepts front sockets until the program stops, then answers what they brought and returns.
+/// Accepts downstream connections until the program stops, then answers what they brought and returns.
 pub async fn serve(listen: SocketAddr, sockets: usize, front: Front) -> io::Result<()> {
     let listener = bind(listen)?;
-    let sockets = Sockets::new(sockets);
+    let sockets = Connections::new(sockets);
     let stopping = front.stopping.clone();
     let routes = routes(front);
     let (finished, mut all_finished) = mpsc::channel::<()>(1);
     let start = |stream| {
-        COUNTERS.front_accepted.one();
+        COUNTERS.downstream_accepted.one();
         let place = sockets.enter();
         let task = connection(stream, routes.clone(), stopping.clone(), place.clone(), finished.clone());
         place.served_by(tokio::spawn(task).abort_handle());
@@ -425,7 +426,7 @@
             accepted = accept => match accepted {
                 Ok((stream, _)) => start(stream),
                 Err(e) => {
-                    COUNTERS.front_accept_failed.one();
+                    COUNTERS.downstream_accept_failed.one();
                     say!("front: accept: {e}");
                     sleep_until(Instant::now() + ACCEPT_REST).await;
                 }
@@ -450,7 +451,7 @@
     }
 }
 
-/// Serves one front socket. One that stands idle when the program is told to drain or stop is closed at
+/// Serves one downstream connection. One that stands idle when the program is told to drain or stop is closed at
 /// once, unless it is so new that its first request may be on its way; one that comes in a drain when the
 /// program stops, and one that comes later when the listener
 /// closes. An answer in a drain or a stop closes its socket. `_share` is let go with it.
@@ -488,7 +489,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(None)
             .max_buf_size(LARGEST_HEAD)
-            .serve_connection(FrontStream::new(downstream.clone(), place.clone()), service);
+            .serve_connection(DownstreamIo::new(downstream.clone(), place.clone()), service);
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -2,7 +2,7 @@
 use tower_service::Service;
 
 /// The routes before a module of the test's own, whose mailbox holds one letter.
-fn front() -> (Router, mpsc::Receiver<Mail>, watch::Sender<Phase>) {
+fn front() -> (Router, mpsc::Receiver<Message>, watch::Sender<Phase>) {
     let (module, mail) = mpsc::channel(1);
     let (phase, stopping) = watch::channel(Phase::Serving);
     let names = Names::new(["read"], ["small"], []);
@@ -34,9 +34,9 @@
         .expect("a request")
 }
 
-fn taken(mail: Option<Mail>) -> Taken {
+fn taken(mail: Option<Message>) -> Taken {
     match mail {
-        Some(Mail::Taken(taken)) => taken,
+        Some(Message::Taken(taken)) => taken,
         _ => panic!("the front hands over a request"),
     }
 }
@@ -52,7 +52,7 @@
     assert_eq!((kept.request.units, kept.request.spread), (2.0, 3));
     assert_eq!(answer.await.map(|a| a.status()), Ok(StatusCode::GATEWAY_TIMEOUT));
     assert!(begun.elapsed() < Duration::from_millis(480));
-    assert!(matches!(mail.recv().await, Some(Mail::Abandoned(id)) if id == kept.request.id));
+    assert!(matches!(mail.recv().await, Some(Message::Abandoned(id)) if id == kept.request.id));
 
     let mut answer = routes.call(request("480"));
     assert!(futures_util::poll!(&mut answer).is_pending());
@@ -71,7 +71,7 @@
     assert_eq!(routes.call(request("480")).await.map(|a| a.status()), Ok(StatusCode::TOO_MANY_REQUESTS));
     drop(gone);
     let id = taken(mail.recv().await).request.id;
-    assert!(matches!(mail.recv().await, Some(Mail::Abandoned(gone)) if gone == id));
+    assert!(matches!(mail.recv().await, Some(Message::Abandoned(gone)) if gone == id));
 }
 
 #[tokio::test]
@@ -79,8 +79,8 @@
     let (mut routes, mut mail, phase) = front();
     let replies = [
         (Reply::Served("a report".into()), 200, None),
-        (Reply::Busy { retry_after: 250_000 }, 429, Some("0.250")),
-        (Reply::Busy { retry_after: 0 }, 429, None),
+        (Reply::Rejected { retry_after: 250_000 }, 429, Some("0.250")),
+        (Reply::Rejected { retry_after: 0 }, 429, None),
         (Reply::Failed, 502, None),
     ];
     for (reply, status, after) in replies {
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,4 +1,4 @@
-//! The actor that watches discovery and tells the module each change of the pool config.
+//! The actor that watches discovery and tells the module each change of the endpoints.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,8 +13,8 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::addresses::Addresses;
+use super::endpoints::{Change, WireItem, WireList};
 use super::metrics::COUNTERS;
-use super::pool::{Change, WireItem, WireList};
 use crate::say;
 
 /// A watch that says nothing for this long is dead: its empty lines come every 2 s.
@@ -22,7 +22,7 @@
 /// Rests between watches that failed, doubled from the first to the last.
 const FIRST_REST: Duration = Duration::from_millis(50);
 const LAST_REST: Duration = Duration::from_secs(1);
-/// A list longer than this is no pool config.
+/// A list longer than this is no endpoints.
 const LONGEST_LIST: usize = 4 << 20;
 
 /// Where a list ends in what arrives, byte by byte: each is looked at once, however long the list is.
--- a/src/net/mail.rs
+++ b/src/net/message.rs
@@ -39,9 +39,9 @@
     pub retry: bool,
 }
 
-/// How a route step ended.
+/// How an attempt ended.
 #[derive(Debug)]
-pub struct StepEnd {
+pub struct AttemptEnd {
     pub request: RequestId,
     pub attempt: u32,
     pub outcome: Outcome,
@@ -53,11 +53,11 @@
     pub cost: Option<f64>,
 }
 
-impl StepEnd {
+impl AttemptEnd {
     /// An end without an answer.
-    pub fn bare(request: RequestId, attempt: u32, outcome: Outcome, latency: Duration) -> StepEnd {
+    pub fn bare(request: RequestId, attempt: u32, outcome: Outcome, latency: Duration) -> AttemptEnd {
         let report = LoadReport::default();
-        StepEnd { request, attempt, outcome, latency, body: None, report, metered: None, cost: None }
+        AttemptEnd { request, attempt, outcome, latency, body: None, report, metered: None, cost: None }
     }
 }
 
@@ -74,13 +74,13 @@
 pub enum Reply {
     /// A destination's answer.
     Served(Bytes),
-    /// A busy reply: trying again after so long is harmless.
-    Busy { retry_after: Micros },
+    /// A rejection: trying again after so long is harmless.
+    Rejected { retry_after: Micros },
     /// Failed; it may have run.
     Failed,
 }
 
-/// A request as a front socket hands it over.
+/// A request as a downstream connection hands it over.
 pub struct Taken {
     /// What the decisions need; its patience is counted anew from `deadline`.
     pub request: Request,
@@ -113,10 +113,10 @@
 }
 
 /// What arrives in the module's mailbox.
-pub enum Mail {
+pub enum Message {
     Taken(Taken),
     Abandoned(RequestId),
-    StepEnded(StepEnd),
+    AttemptEnded(AttemptEnd),
     Probed { backend: BackendId, outcome: Outcome, latency: Duration, report: LoadReport },
     Counted(Counted),
     Peer { from: u32, bytes: Vec<u8> },
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -53,19 +53,19 @@
 }
 
 counters! {
-    /// Front sockets accepted, and accepts that failed.
-    front_accepted,
-    front_accept_failed,
-    /// Front sockets closed: a request did not come whole in time, stood idle, did not take its answer; and
+    /// Downstream connections accepted, and accepts that failed.
+    downstream_accepted,
+    downstream_accept_failed,
+    /// Downstream connections closed: a request did not come whole in time, stood idle, did not take its answer; and
     /// for want of room, unfinished and idle ones.
-    front_closed_unfinished,
-    front_closed_idle,
-    front_closed_unread,
-    front_room_unfinished,
-    front_room_idle,
+    downstream_closed_unfinished,
+    downstream_closed_idle,
+    downstream_closed_unread,
+    downstream_room_unfinished,
+    downstream_room_idle,
     /// Requests that went to the module.
     taken,
-    /// Requests answered before the module saw them: 400, 404, 409, 413, and busy replies for want of room.
+    /// Requests answered before the module saw them: 400, 404, 409, 413, and rejections for want of room.
     malformed,
     unknown_path,
     already_open,
@@ -73,24 +73,24 @@
     turned_away_full,
     /// Answers to requests taken.
     served,
-    busy_replies,
+    rejections,
     failed,
     /// Answers given because the module's did not come.
     last_resort,
     /// Clients that went away before their answer.
     abandoned,
-    /// Route steps begun, and how they ended.
-    steps,
-    steps_ok,
-    steps_error,
-    steps_rejected,
-    steps_timed_out,
-    steps_connect_failed,
-    steps_reset,
-    steps_canceled,
-    steps_not_sent,
-    /// Route steps given a connection that had ended while it stood idle, and then another one.
-    steps_redialled,
+    /// Attempts begun, and how they ended.
+    attempts,
+    attempts_ok,
+    attempts_error,
+    attempts_rejected,
+    attempts_timed_out,
+    attempts_connect_failed,
+    attempts_reset,
+    attempts_canceled,
+    attempts_not_sent,
+    /// Attempts given a connection that had ended while it stood idle, and then another one.
+    attempts_redialled,
     /// Connections opened to destinations, and dials that failed.
     dials,
     dials_failed,
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 
 use sedgestack::{
-    Action, AttemptEnd, BackendId, BackendState, Event, Gateway, Listed, Micros, Outcome, Places, Request,
-    RequestId,
+    Action, BackendId, BackendState, Event, Gateway, Listed, Micros, Outcome, Places, Request, RequestId,
 };
 use sedgestack_capture::{CounterState, Outcome as CapturedOutcome, Record};
 use tokio::sync::{mpsc, oneshot};
@@ -19,21 +18,21 @@
 
 use super::clock::Clock;
 use super::counter;
-use super::destination::{Fleet, Handle, Order, RouteStep};
+use super::destination::{Attempt, Fleet, Handle, Order};
+use super::endpoints::Change;
 use super::figures::Figures;
 use super::log;
-use super::mail::{
-    Answer, Control, Counted, Forward, Mail, NewRules, Origin, Reply, StepEnd, Taken, ToldRules,
+use super::message::{
+    Answer, AttemptEnd, Control, Counted, Forward, Message, NewRules, Origin, Reply, Taken, ToldRules,
 };
 use super::metrics::COUNTERS;
 use super::peers::Letter;
-use super::pool::Change;
 use super::recorder::{Entry, Recorder};
 use super::rules::{Rules, Unknown, Version, Word};
 use super::watch::Tally;
 use crate::say;
 
-/// Mail handled in one batch at most: a flood must not keep timers waiting.
+/// Message handled in one batch at most: a flood must not keep timers waiting.
 const MOST_MAIL: usize = 256;
 
 /// Servers come to be avoided, or no longer, between changes of the list: the figures hear of it this often.
@@ -45,7 +44,7 @@
 /// What a client is told to wait that comes while the version in force is not known: a beat or two.
 const RULES_UNKNOWN_WAIT: Micros = 500_000;
 
-/// A request taken, until its last route step has ended.
+/// A request taken, until its last attempt has ended.
 struct Open {
     forward: Arc<Forward>,
     deadline: Instant,
@@ -53,9 +52,9 @@
     reply: Option<oneshot::Sender<Answer>>,
     /// The version of the rules that it was taken under.
     version: Option<Under>,
-    /// Who took the route steps, in order (an actor that was replaced still has its own), and how many are
+    /// Who took the attempts, in order (an actor that was replaced still has its own), and how many are
     /// out.
-    steps: Vec<Option<Handle>>,
+    attempts: Vec<Option<Handle>>,
     out: usize,
     /// What a capture is told of it, where there is one.
     told: Option<Box<(Request, Origin)>>,
@@ -101,12 +100,12 @@
     requests: HashMap<RequestId, Open>,
     destinations: HashMap<BackendId, (Handle, Listed)>,
     list_version: u64,
-    /// Changes of the pool config handed to the decisions.
+    /// Changes of the endpoints handed to the decisions.
     changes: u64,
     timers: BinaryHeap<Reverse<Micros>>,
     events: Vec<Event>,
     /// Ends that were known at once, for the next batch.
-    at_once: Vec<StepEnd>,
+    at_once: Vec<AttemptEnd>,
     uncounted: Vec<Counted>,
     /// Whether the counter's last call was answered.
     counter_answers: Option<bool>,
@@ -154,7 +153,7 @@
         mut self,
         mut lists: mpsc::Receiver<Change>,
         mut controls: mpsc::Receiver<Control>,
-        mut mailbox: mpsc::Receiver<Mail>,
+        mut mailbox: mpsc::Receiver<Message>,
     ) {
         let mut mail = Vec::with_capacity(MOST_MAIL);
         let sleep = sleep_until(Instant::now());
@@ -180,7 +179,7 @@
                 self.control(control);
             }
             for end in std::mem::take(&mut self.at_once) {
-                self.step_ended(end);
+                self.attempt_ended(end);
             }
             for end in std::mem::take(&mut self.uncounted) {
                 self.counted(end);
@@ -309,7 +308,7 @@
     }
 
     /// Takes a server out or lets it back, for the decisions to know before the next request. Its actor is
-    /// closed, so that no route step already given to it begins; one let back gets a new actor.
+    /// closed, so that no attempt already given to it begins; one let back gets a new actor.
     fn cordon(&mut self, backend: BackendId, out: bool) {
         let known = self.destinations.get(&backend).map(|(handle, listed)| (handle.clone(), listed.clone()));
         if out {
@@ -325,10 +324,10 @@
         self.events.push(Event::Cordon { backend, out });
     }
 
-    fn read(&mut self, mail: Mail) {
+    fn read(&mut self, mail: Message) {
         match mail {
-            Mail::Taken(taken) => self.taken(taken),
-            Mail::Abandoned(id) => {
+            Message::Taken(taken) => self.taken(taken),
+            Message::Abandoned(id) => {
                 if let Some(open) = self.requests.get_mut(&id).filter(|o| o.reply.is_some()) {
                     COUNTERS.abandoned.one();
                     open.reply = None;
@@ -339,13 +338,13 @@
                     self.tidy(id);
                 }
             }
-            Mail::StepEnded(end) => self.step_ended(end),
-            Mail::Probed { backend, outcome, latency, report } => {
+            Message::AttemptEnded(end) => self.attempt_ended(end),
+            Message::Probed { backend, outcome, latency, report } => {
                 let latency = latency.as_micros() as Micros;
                 self.events.push(Event::ProbeEnded { backend, outcome, latency, report });
             }
-            Mail::Counted(answer) => self.counted(answer),
-            Mail::Peer { from, bytes } => self.events.push(Event::PeerMessage { from, bytes }),
+            Message::Counted(answer) => self.counted(answer),
+            Message::Peer { from, bytes } => self.events.push(Event::PeerMessage { from, bytes }),
         }
     }
 
@@ -358,7 +357,7 @@
                 let record = self.told_record(&told, key, CapturedOutcome::TurnedAway, 0, None);
                 recorder.record(Entry { record, destination: None });
             }
-            let _ = taken.reply.send((Reply::Busy { retry_after: 0 }, None));
+            let _ = taken.reply.send((Reply::Rejected { retry_after: 0 }, None));
             return;
         }
         COUNTERS.taken.one();
@@ -370,8 +369,8 @@
             let now = self.ties.clock.now();
             let Some(rules) = self.rules.as_mut().and_then(|r| r.at(now)) else {
                 COUNTERS.rules_unknown.one();
-                COUNTERS.busy_replies.one();
-                let _ = taken.reply.send((Reply::Busy { retry_after: RULES_UNKNOWN_WAIT }, None));
+                COUNTERS.rejections.one();
+                let _ = taken.reply.send((Reply::Rejected { retry_after: RULES_UNKNOWN_WAIT }, None));
                 return;
             };
             let aim = rules.aims.get(request.class).copied().unwrap_or(Micros::MAX);
@@ -395,7 +394,7 @@
             deadline,
             reply: Some(taken.reply),
             version,
-            steps: Vec::new(),
+            attempts: Vec::new(),
             out: 0,
             told,
         };
@@ -403,7 +402,7 @@
         self.events.push(Event::Request(request));
     }
 
-    fn step_ended(&mut self, end: StepEnd) {
+    fn attempt_ended(&mut self, end: AttemptEnd) {
         let Some(open) = self.requests.get_mut(&end.request) else { return };
         open.out = open.out.saturating_sub(1);
         if let (Outcome::Ok, Some(body)) = (end.outcome, end.body) {
@@ -416,7 +415,7 @@
             }
         }
         let Some(open) = self.requests.get(&end.request) else { return };
-        self.events.push(Event::AttemptEnded(AttemptEnd {
+        self.events.push(Event::AttemptEnded(sedgestack::AttemptEnd {
             request: end.request,
             attempt: end.attempt,
             outcome: end.outcome,
@@ -434,7 +433,7 @@
         self.events.push(Event::CounterAnswered { name: end.name, outcome: end.outcome, total: end.total });
     }
 
-    /// Drops a request that is answered and has no route step out.
+    /// Drops a request that is answered and has no attempt out.
     fn tidy(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| o.reply.is_none() && o.out == 0) {
             self.requests.remove(&id);
@@ -496,12 +495,12 @@
                 self.send(request, backend, begun, deadline);
             }
             Action::Cancel { request, attempt } => {
-                let step = self.requests.get(&request).and_then(|o| o.steps.get(attempt as usize));
-                if let Some(Some(handle)) = step {
+                let taker = self.requests.get(&request).and_then(|o| o.attempts.get(attempt as usize));
+                if let Some(Some(handle)) = taker {
                     handle.order(Order::Cancel { request, attempt });
                 }
             }
-            Action::Refuse { request, retry_after } => self.answer(request, Reply::Busy { retry_after }),
+            Action::Refuse { request, retry_after } => self.answer(request, Reply::Rejected { retry_after }),
             Action::Fail { request } => self.answer(request, Reply::Failed),
             Action::Count { name, amount, keep } => {
                 COUNTERS.counter_calls.one();
@@ -531,34 +530,34 @@
         }
     }
 
-    /// Hands a route step to its destination; it ends at `deadline`, or at the request's own at the latest.
+    /// Hands an attempt to its destination; it ends at `deadline`, or at the request's own at the latest.
     fn send(&mut self, request: RequestId, backend: BackendId, begun: Instant, deadline: Option<Instant>) {
         let Some(open) = self.requests.get_mut(&request) else { return };
-        let attempt = open.steps.len() as u32;
+        let attempt = open.attempts.len() as u32;
         // Guards against sending on what nobody waits for: the word that its client left may still be in the mailbox.
         let waits = open.reply.is_some() && !open.forward.left.is_cancelled();
         let may = waits && attempt < self.ties.max_attempts;
         let handle = self.destinations.get(&backend).filter(|_| may).map(|(handle, _)| handle.clone());
         open.out += 1;
         let deadline = deadline.map_or(open.deadline, |d| d.min(open.deadline));
-        let step = RouteStep { request, attempt, forward: open.forward.clone(), begun, deadline };
-        if !handle.as_ref().is_some_and(|h| h.order(Order::Step(step))) {
-            self.at_once.push(StepEnd::bare(request, attempt, Outcome::NotSent, Duration::ZERO));
+        let ordered = Attempt { request, number: attempt, forward: open.forward.clone(), begun, deadline };
+        if !handle.as_ref().is_some_and(|h| h.order(Order::Attempt(ordered))) {
+            self.at_once.push(AttemptEnd::bare(request, attempt, Outcome::NotSent, Duration::ZERO));
         }
-        open.steps.push(handle);
+        open.attempts.push(handle);
     }
 
     fn answer(&mut self, id: RequestId, reply: Reply) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if let Some(waiting) = open.reply.take() {
             let (count, outcome) = match reply {
-                Reply::Busy { .. } => (&COUNTERS.busy_replies, CapturedOutcome::Refused),
+                Reply::Rejected { .. } => (&COUNTERS.rejections, CapturedOutcome::Refused),
                 _ => (&COUNTERS.failed, CapturedOutcome::Failed),
             };
             count.one();
             let reply = match (reply, open.version) {
-                (Reply::Busy { retry_after }, Some(under)) => {
-                    Reply::Busy { retry_after: retry_after.min(under.max_retry_after) }
+                (Reply::Rejected { retry_after }, Some(under)) => {
+                    Reply::Rejected { retry_after: retry_after.min(under.max_retry_after) }
                 }
                 (reply, _) => reply,
             };
@@ -577,15 +576,15 @@
         }
     }
 
-    /// Tells the capture, where there is one, how a request was answered: by route step `step`, if by one.
-    fn record(&mut self, id: RequestId, outcome: CapturedOutcome, step: Option<usize>) {
+    /// Tells the capture, where there is one, how a request was answered: by attempt `number`, if by one.
+    fn record(&mut self, id: RequestId, outcome: CapturedOutcome, number: Option<usize>) {
         let Some(recorder) = &self.ties.recorder else { return };
         let Some(open) = self.requests.get(&id) else { return };
         let Some(told) = &open.told else { return };
         let key = open.forward.key.as_ref().map(|k| k.as_bytes());
-        let step = step.map_or_else(|| open.steps.last(), |n| open.steps.get(n));
-        let destination = step.and_then(|s| s.as_ref()).map(|handle| handle.id.clone());
-        let attempts = open.steps.len();
+        let taker = number.map_or_else(|| open.attempts.last(), |n| open.attempts.get(n));
+        let destination = taker.and_then(|s| s.as_ref()).map(|handle| handle.id.clone());
+        let attempts = open.attempts.len();
         let rules = open.version.map(|u| u.number);
         recorder.record(Entry { record: self.told_record(told, key, outcome, attempts, rules), destination });
     }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -30,7 +30,7 @@
 use super::calls;
 use super::cordons;
 use super::figures::Figures;
-use super::mail::Control;
+use super::message::Control;
 use super::metrics::COUNTERS;
 use super::shutdown::Phase;
 use super::tier::{Asked, Call};
@@ -82,7 +82,7 @@
                 });
             }
             Err(e) => {
-                COUNTERS.front_accept_failed.one();
+                COUNTERS.downstream_accept_failed.one();
                 say!("ops: accept: {e}");
                 sleep_until(Instant::now() + ACCEPT_REST).await;
             }
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::calls;
-use super::mail::Mail;
+use super::message::Message;
 use super::metrics::COUNTERS;
 use super::reuse;
 use crate::say;
@@ -56,7 +56,7 @@
     pub async fn run(
         self,
         mut mailbox: mpsc::Receiver<Letter>,
-        module: mpsc::Sender<Mail>,
+        module: mpsc::Sender<Message>,
         tier: Option<mpsc::Sender<Vec<u8>>>,
     ) {
         // One byte more than allowed, to tell a longer datagram from a full one.
@@ -86,7 +86,7 @@
                         let _ = tier.try_send(buffer[..length].to_vec());
                         continue;
                     }
-                    let _ = module.try_send(Mail::Peer { from, bytes: buffer[..length].to_vec() });
+                    let _ = module.try_send(Message::Peer { from, bytes: buffer[..length].to_vec() });
                 }
             }
         }
@@ -136,7 +136,7 @@
         peer.send_to(&[1; LONGEST + 1], address).await.expect("sent");
         peer.send_to(&[2; LONGEST], address).await.expect("sent");
         match mail.recv().await {
-            Some(Mail::Peer { from: 1, bytes }) => assert_eq!(bytes, [2; LONGEST]),
+            Some(Message::Peer { from: 1, bytes }) => assert_eq!(bytes, [2; LONGEST]),
             _ => panic!("the message of 256 bytes comes first"),
         }
         for mark in [MARK, TALLIES] {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -41,7 +41,7 @@
 }
 
 impl Signals {
-    /// Guards a start: a SIGTERM that comes as soon as the front socket is there must not kill outright.
+    /// Guards a start: a SIGTERM that comes as soon as the downstream connection is there must not kill outright.
     pub fn catch() -> io::Result<Signals> {
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
--- a/src/net/tier.rs
+++ b/src/net/tier.rs
@@ -20,7 +20,7 @@
 
 use super::clock::Clock;
 use super::config::Config;
-use super::mail::{Control, NewRules, ToldRules};
+use super::message::{Control, NewRules, ToldRules};
 use super::metrics::COUNTERS;
 use super::peers::Letter;
 use super::settings;
--- a/tests/limiter/client_leaves.rs
+++ b/tests/limiter/client_leaves.rs
@@ -46,8 +46,9 @@
         go(client);
         limiter.until(|count| count("abandoned") == 1);
         let destination = Destination::on(unopened.open(), |stream| ok(stream, "a report"));
-        limiter
-            .until(|count| count("steps_canceled") + count("steps_ok") + count("steps_connect_failed") == 1);
+        limiter.until(|count| {
+            count("attempts_canceled") + count("attempts_ok") + count("attempts_connect_failed") == 1
+        });
         only_the_next_comes(&limiter, &destination);
     }
 }
@@ -63,7 +64,7 @@
         client.write(&(read("large", 1) + "GET /read/0000"));
         limiter.until(|count| count("taken") == 1);
         go(client);
-        limiter.until(|count| count("abandoned") + count("busy_replies") == 1);
+        limiter.until(|count| count("abandoned") + count("rejections") == 1);
         assert_eq!(limiter.count("abandoned"), 1, "it was not seen to go");
         push.send(json!({"version": 2, "full": false, "servers": [destination.entry("s-1", "Ready")]}))
             .unwrap();
@@ -98,13 +99,13 @@
         go(client);
         limiter.until(|count| count("abandoned") == 1);
         break_off.send(()).unwrap();
-        limiter.until(|count| count("steps_reset") == 1);
+        limiter.until(|count| count("attempts_reset") == 1);
         let marker = Destination::answering("a report");
         let gone: Vec<Value> = [0, 1].map(|n| destinations[n].entry(&format!("s-{n}"), "Gone")).to_vec();
         let servers = [gone, vec![marker.entry("s-2", "Ready")]].concat();
         push.send(json!({"version": 2, "full": false, "servers": servers})).unwrap();
         limiter.until(|count| count("list_changes") == 1);
         only_the_next_comes(&limiter, &marker);
-        assert_eq!(limiter.count("steps"), 2, "one for each request");
+        assert_eq!(limiter.count("attempts"), 2, "one for each request");
     }
 }
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -19,7 +19,7 @@
 use harness::*;
 use serde_json::{json, Value};
 
-/// A limiter whose counter answers and whose pool config is `servers`, with a way to change it.
+/// A limiter whose counter answers and whose endpoints is `servers`, with a way to change it.
 fn limiter(servers: Vec<Value>) -> (Limiter, std::sync::mpsc::Sender<Value>) {
     let (discovery, push) = discovery();
     let (counter, _) = counter(true);
@@ -161,7 +161,7 @@
         kept.push(client);
     }
     assert_eq!(limiter.ask(&read("large", 1)).status(), 200);
-    assert!(!limiter.counters().contains(" front_room_unfinished=0 "));
+    assert!(!limiter.counters().contains(" downstream_room_unfinished=0 "));
     // What was not closed for room is closed once its time is up.
     for mut client in kept {
         while client.answer().is_some() {}
@@ -292,7 +292,7 @@
     drop(client);
     while !limiter.counters().contains(" abandoned=1 ") {}
     release.send(()).unwrap();
-    while !limiter.counters().contains(" steps_ok=1 ") {}
+    while !limiter.counters().contains(" attempts_ok=1 ") {}
     assert!(limiter.counters().contains(" served=0 "));
 }
 
@@ -305,7 +305,7 @@
     busy.write(&read("large", 1));
     destination.until_asked();
     limiter.signal("TERM");
-    assert!(idle.answer().is_none(), "an idle front socket is closed");
+    assert!(idle.answer().is_none(), "an idle downstream connection is closed");
     release.send(()).unwrap();
     let answer = busy.answer().expect("what was taken is answered");
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
