Let what a silent or hanging discovery holds back be told within 6 s, 4 s after SIGHUP

At fault in net/list: a watch counted as silent after 5 s, a call could hang for 5 s, and between calls lay a rest of up to 1 s, which also grew over watches that were in order and had nothing to tell. Silence alone took 5 s + 1 s + the call; a call begun just before discovery came back took 5 s + 1 s + the call; after a reload a hanging first call took 5 s. Twins: a reload at the same address opened no watch, so that a silent one went on being silent; a whole list whose version steps back (a discovery that lost its versions) was dropped by Module::listed, and all it told later.

Mend: silence 3 s (a watch beats every 2 s), a call 1 s, rests 0.05 s to 0.5 s that start anew after a watch which stood for 2 s; each reload opens the watch anew, the former one going on until the next one stands (same discovery) or has told its first list (another). The sum stands beside the constants. A whole list that steps back counts, and drains hold across it as across a move.

--- a/src/main.rs
+++ b/src/main.rs
@@ -95,7 +95,7 @@
     let watches = tier_settings.as_ref().is_some_and(|t| t.watch.is_some());
     let version = config.known.version;
     lists.try_send(config.known).map_err(|_| "the list's mailbox is full")?;
-    tokio::spawn(list::run(addresses, version, lists));
+    tokio::spawn(list::run(list::connector(), addresses, version, lists));
     let ties = Ties {
         clock,
         fleet,
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,11 +1,13 @@
 //! The actor that watches discovery and tells the module each change of the endpoints.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{Connect, HttpConnector};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use tokio::sync::{mpsc, watch};
@@ -17,11 +19,20 @@
 use super::metrics::COUNTERS;
 use crate::say;
 
+// The waits below add up to what a change can be late by. A watch falls silent at 0 s: that is seen at 3 s, the next
+// call is made at 3.05 s, and two calls that hang after it leave room for a third at 5.35 s: under the 6 s at which
+// what was missed counts as told. A call that hangs from before discovery's return ends 1 s after it, and the next
+// is made 0.5 s later at the latest. After a SIGHUP the first call is made at once: two that hang leave 1.85 s of 4 s.
+
 /// A watch that says nothing for this long is dead: its empty lines come every 2 s.
-const SILENCE: Duration = Duration::from_secs(5);
-/// Rests between watches that failed, doubled from the first to the last.
+const SILENCE: Duration = Duration::from_secs(3);
+/// A call that has no head of an answer by then has failed: discovery's agent answers at once.
+const CALL_WAIT: Duration = Duration::from_secs(1);
+/// Rests between calls, doubled from the first to the last while watches fail or end as soon as they stand.
 const FIRST_REST: Duration = Duration::from_millis(50);
-const LAST_REST: Duration = Duration::from_secs(1);
+const LAST_REST: Duration = Duration::from_millis(500);
+/// A watch that stood for so long was in order, whether it had anything to tell or not.
+const IN_ORDER: Duration = Duration::from_secs(2);
 /// A list longer than this is no endpoints.
 const LONGEST_LIST: usize = 4 << 20;
 
@@ -103,83 +114,116 @@
 }
 
 /// A watch of one discovery; it ends when this is dropped.
-struct Watch(AbortHandle);
+struct Watch {
+    task: AbortHandle,
+    /// The version that it has told.
+    version: Arc<AtomicU64>,
+}
 
 impl Drop for Watch {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
+/// The watch that another one takes the place of, until it is dropped. Guards drains: what it still tells meanwhile is
+/// not missed.
+struct Replaced {
+    _watch: Watch,
+    /// It is of another discovery: it ends once the next one has told its first list, else once the next one stands.
+    moved: bool,
+}
+
 impl Watch {
-    /// Watches `discovery` from `version` on. The watch that this one `replaces` goes on until this one has
-    /// told its first list. Guards drains: what the former discovery still tells meanwhile is not missed.
-    fn start(
+    /// Watches `discovery` from `version` on.
+    fn start<C: Connect + Clone + Send + Sync + 'static>(
+        connector: C,
         discovery: SocketAddr,
         version: u64,
-        replaces: Option<Watch>,
+        replaces: Option<Replaced>,
         module: mpsc::Sender<Change>,
     ) -> Watch {
-        Watch(tokio::spawn(follow(discovery, version, replaces, module)).abort_handle())
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
+        let version = Arc::new(AtomicU64::new(version));
+        let task = tokio::spawn(follow(client, discovery, version.clone(), replaces, module)).abort_handle();
+        Watch { task, version }
     }
 }
 
-/// Watches discovery from `version` on, for as long as the module listens, and moves with its address.
-pub async fn run(mut addresses: watch::Receiver<Addresses>, version: u64, module: mpsc::Sender<Change>) {
+/// Opens connections to discovery.
+pub fn connector() -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector
+}
+
+/// Watches discovery from `version` on, for as long as the module listens, and moves with its address. Each reload opens
+/// the watch anew: the one that stands may be silent.
+pub async fn run<C: Connect + Clone + Send + Sync + 'static>(
+    connector: C,
+    mut addresses: watch::Receiver<Addresses>,
+    version: u64,
+    module: mpsc::Sender<Change>,
+) {
     let mut discovery = addresses.borrow_and_update().discovery;
-    let mut watch = Watch::start(discovery, version, None, module.clone());
+    let mut watch = Watch::start(connector.clone(), discovery, version, None, module.clone());
     while addresses.changed().await.is_ok() {
         let next = addresses.borrow_and_update().discovery;
-        if next != discovery {
+        // A version counts at one discovery only: of another the whole list is asked.
+        let (version, replaces) = if next == discovery {
+            (watch.version.load(Relaxed), Replaced { _watch: watch, moved: false })
+        } else {
             say!("list: discovery moves from {discovery} to {next}");
             discovery = next;
-            // A version counts at one discovery only: of another the whole list is asked.
-            watch = Watch::start(discovery, 0, Some(watch), module.clone());
-        }
+            (0, Replaced { _watch: watch, moved: true })
+        };
+        watch = Watch::start(connector.clone(), discovery, version, Some(replaces), module.clone());
     }
     drop(watch);
 }
 
-async fn follow(
+async fn follow<C: Connect + Clone + Send + Sync + 'static>(
+    client: Client<C, Empty<Bytes>>,
     discovery: SocketAddr,
-    mut version: u64,
-    mut replaces: Option<Watch>,
+    version: Arc<AtomicU64>,
+    mut replaces: Option<Replaced>,
     module: mpsc::Sender<Change>,
 ) {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new())
-        .pool_max_idle_per_host(0)
-        .retry_canceled_requests(false)
-        .build(connector);
     let mut rest = FIRST_REST;
     while !module.is_closed() {
         COUNTERS.list_watches.one();
-        let before = version;
-        let Err(why) = watch_once(&client, discovery, &mut version, &mut replaces, &module).await;
+        let (before, begun) = (version.load(Relaxed), Instant::now());
+        let Err(why) = watch_once(&client, discovery, &version, &mut replaces, &module).await;
         say!("list: watch from version {before} ended: {why}");
-        rest = if version == before { (rest * 2).min(LAST_REST) } else { FIRST_REST };
+        if begun.elapsed() >= IN_ORDER {
+            rest = FIRST_REST;
+        }
         sleep_until(Instant::now() + rest).await;
+        rest = (rest * 2).min(LAST_REST);
     }
 }
 
 enum Never {}
 
-async fn watch_once(
-    client: &Client<HttpConnector, Empty<Bytes>>,
+async fn watch_once<C: Connect + Clone + Send + Sync + 'static>(
+    client: &Client<C, Empty<Bytes>>,
     discovery: SocketAddr,
-    version: &mut u64,
-    replaces: &mut Option<Watch>,
+    version: &AtomicU64,
+    replaces: &mut Option<Replaced>,
     module: &mpsc::Sender<Change>,
 ) -> Result<Never, String> {
-    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={version}");
+    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={}", version.load(Relaxed));
     let uri = uri.parse().map_err(|e| format!("address: {e}"))?;
     let quiet = |_| "silent".to_string();
-    let answer = timeout_at(Instant::now() + SILENCE, client.get(uri)).await.map_err(quiet)?;
+    let answer = timeout_at(Instant::now() + CALL_WAIT, client.get(uri)).await.map_err(quiet)?;
     let answer = answer.map_err(|e| format!("{e:?}"))?;
     if answer.status() != hyper::StatusCode::OK {
         return Err(format!("status {}", answer.status()));
     }
+    replaces.take_if(|r| !r.moved);
     let (mut body, mut lists) = (answer.into_body(), Lists::default());
     let mut heard_by = Instant::now() + SILENCE;
     loop {
@@ -193,7 +237,7 @@
             heard_by = Instant::now() + SILENCE;
         }
         for mut change in changes {
-            *version = change.version;
+            version.store(change.version, Relaxed);
             change.moved = replaces.take().is_some();
             COUNTERS.list_changes.one();
             module.send(change).await.map_err(|_| "the module has ended")?;
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -190,8 +190,10 @@
     }
 
     fn listed(&mut self, mut change: Change) {
-        // Versions count at one discovery; to the decisions changes are numbered as they come.
-        if change.version < self.list_version && !change.moved {
+        // Versions count at one discovery; to the decisions changes are numbered as they come. A whole list whose version
+        // steps back is of a discovery that lost what it had: nothing that it tells later would count otherwise.
+        let anew = change.moved || (change.whole && change.version < self.list_version);
+        if change.version < self.list_version && !anew {
             return;
         }
         self.list_version = change.version;
@@ -214,7 +216,7 @@
             let drains = |(_, before): &(Handle, Listed)| {
                 before.state == BackendState::Draining && before.started == listed.started
             };
-            if change.moved && listed.state == BackendState::InService && known.is_some_and(drains) {
+            if anew && listed.state == BackendState::InService && known.is_some_and(drains) {
                 listed.state = BackendState::Draining;
             }
             if listed.state != BackendState::InService {
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -160,10 +160,18 @@
 /// The same, its lists worded by `word`.
 pub fn discovery_wording(
     word: impl Fn(&Value) -> String + Send + Sync + 'static,
+) -> (SocketAddr, Sender<Value>) {
+    discovery_on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), word)
+}
+
+/// Discovery on a listener of the test's.
+pub fn discovery_on(
+    listener: TcpListener,
+    word: impl Fn(&Value) -> String + Send + Sync + 'static,
 ) -> (SocketAddr, Sender<Value>) {
     let (push, lines) = channel::<Value>();
     let lines = Mutex::new(lines);
-    let address = listen(move |mut stream| {
+    let address = listen_on(listener, move |mut stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
         if read_message(&mut reader).is_none() {
             return;
@@ -173,6 +181,8 @@
         let lines = lines.lock().expect("one watch at a time");
         while sent.is_ok() {
             let line = match lines.recv_timeout(Duration::from_secs(2)) {
+                // The watch ends.
+                Ok(Value::Null) => return,
                 Ok(list) => word(&list) + "\n",
                 Err(std::sync::mpsc::RecvTimeoutError::Timeout) => "\n".to_string(),
                 Err(_) => return,
@@ -185,9 +195,14 @@
 
 /// A counter that adds up by name, for as long as a connection stands; each connection is told of.
 pub fn counter(answers: bool) -> (SocketAddr, Receiver<()>) {
+    counter_on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), answers)
+}
+
+/// A counter on a listener of the test's.
+pub fn counter_on(listener: TcpListener, answers: bool) -> (SocketAddr, Receiver<()>) {
     let (connected, connections) = channel();
     let connected = Mutex::new(connected);
-    let address = listen(move |mut stream| {
+    let address = listen_on(listener, move |mut stream| {
         let _ = connected.lock().expect("no script panics").send(());
         let mut totals: HashMap<String, f64> = HashMap::new();
         for line in BufReader::new(stream.try_clone().expect("a second handle")).lines() {
