--- a/src/choice.rs
+++ b/src/choice.rs
@@ -266,7 +266,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return false };
         let limited = self.customers.get_mut(&r.customer).filter(|c| c.bucket.rate > 0.0);
         r.granted = limited.is_none_or(|c| {
-            refill(&mut c.bucket, self.now);
+            c.bucket.refill(self.now);
             // A request larger than the whole slice goes when the slice is full.
             let enough = c.bucket.level + 1e-9 >= r.units.min(c.bucket.room);
             c.bucket.level -= if enough { r.units } else { 0.0 };
@@ -407,7 +407,7 @@
         }
         // Guards the counter against a crowd: what is not told now goes in one call with what comes. Where
         // gateways are many, questions go first, and by lot one of two tallies tells for both.
-        refill(&mut self.calls, now);
+        self.calls.refill(now);
         let spared = if self.thin && c.asking.is_empty() { CALLS_SPARED } else { 0.0 };
         if self.calls.level < 1.0 + spared || now < self.counter_down_until {
             if self.thin && c.tally.pending.abs() < TOLD_BY_LOT * c.store.max(c.bucket.room) {
@@ -504,7 +504,7 @@
     /// a customer's requests to send without a recent reading, or to refuse by a small slice of a store with
     /// room. A call is waited for, the longer the more questions found nothing; else the even share decides.
     fn asks_at(&mut self, id: RequestId) -> Option<Micros> {
-        refill(&mut self.calls, self.now);
+        self.calls.refill(self.now);
         let r = self.requests.get(&id)?;
         let c = self.customers.get(&r.customer)?;
         // Guards against an empty reading refusing for all its life: once the store could hold the units
@@ -594,7 +594,7 @@
                     c.in_ring[tier] = false;
                     continue;
                 };
-                refill(&mut c.ceiling, self.now);
+                c.ceiling.refill(self.now);
                 let r = &self.requests[&id];
                 let short = c.ceiling.rate > 0.0 && r.attempts == 0 && c.ceiling.level < r.units;
                 let paced = pace < TIER_RESERVE * tier as f64 * self.mean_latency / SECOND;
@@ -647,7 +647,7 @@
         let lasting = |f: &Flight| age(f).clamp(f.charged, f.charged * MOST_COUNTED) - f.charged;
         let lasting = self.flights.values().map(lasting).sum::<f64>() / SECOND;
         self.pace.room = (self.pace.rate * self.lapse as f64).max(burst) / SECOND + lasting;
-        refill(&mut self.pace, self.now);
+        self.pace.refill(self.now);
         self.pace.level = self.pace.level.min(self.pace.room);
         self.pace.level - lasting
     }
@@ -744,7 +744,7 @@
         let left = self.backends.iter().any(|(n, b)| serves(b) && untried(n));
         let more = self.retry_allowance >= 1.0 && r.attempts + 1 < self.settings.max_attempts;
         let used = now.saturating_sub(r.arrived) + patience + expected as Micros;
-        let more = more && left && repeats_anywhere(class.effect);
+        let more = more && left && class.effect.repeats_anywhere();
         let again = more && used < class.aim && now + used < r.deadline;
         let timeout = again.then_some(patience);
         self.out.push(Action::Send { request: id, backend: backend.clone(), timeout });
@@ -765,7 +765,7 @@
             c.open += 1;
             c.queues[tier].pop_front();
             if first {
-                refill(&mut c.ceiling, now);
+                c.ceiling.refill(now);
                 c.ceiling.level -= units;
                 c.reserved = (c.reserved - units).max(0.0);
             }
@@ -973,7 +973,7 @@
     fn refuse(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
         let ran = r.ran.is_some() || r.out > 0;
-        let refusable = !ran || repeats_anywhere(self.settings.classes[r.class].effect);
+        let refusable = !ran || self.settings.classes[r.class].effect.repeats_anywhere();
         let refusal = Action::Refuse { request: id, retry_after: self.come_back(r) };
         self.out.push(if refusable { refusal } else { Action::Fail { request: id } });
         self.forget(id);
@@ -1013,13 +1013,6 @@
     }
 }
 
-/// Lets a bucket gain what has come since; a level over its room stays.
-fn refill(bucket: &mut Bucket, now: Micros) {
-    let gained = bucket.rate * now.saturating_sub(bucket.at) as f64 / SECOND;
-    bucket.level = (bucket.level + gained).min(bucket.room.max(bucket.level));
-    bucket.at = now;
-}
-
 /// Cuts the slice anew: the quota times this gateway's part of the use, never under the even share,
 /// plus its part of the room that is left.
 fn slice(c: &mut Customer, quota: Quota, max_units: f64, now: Micros) {
@@ -1040,11 +1033,6 @@
     quota.burst * ((1.0 - share) / UNUSED_FULL).clamp(0.0, 1.0)
 }
 
-/// Whether any backend may get a repeat of a request that may have run, and so the client may send one.
-fn repeats_anywhere(effect: Effect) -> bool {
-    matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. })
-}
-
 /// A customer's name on the counter in a window: spread evenly, the same at every gateway.
 fn counter_name(customer: CustomerId, window: u64) -> CounterName {
     mix(customer.wrapping_add(0x9e37_79b9_7f4a_7c15u64.wrapping_mul(window + 1))) >> 1
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -27,6 +27,13 @@
     Unsafe,
 }
 
+impl Effect {
+    /// Whether any backend may get a repeat of a request that may have run, and so the client may send one.
+    pub fn repeats_anywhere(self) -> bool {
+        matches!(self, Effect::Safe | Effect::Keyed { group: Group::All, .. })
+    }
+}
+
 /// The backends that share a memory of keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,20 @@
     pub at: Micros,
 }
 
+impl Bucket {
+    /// Gains what has come since; a level over its room stays.
+    pub fn refill(&mut self, now: Micros) {
+        self.level = self.level_at(now);
+        self.at = now;
+    }
+
+    /// Its level then, if nothing is taken before.
+    pub fn level_at(&self, now: Micros) -> f64 {
+        let gained = self.rate * now.saturating_sub(self.at) as f64 / SECOND;
+        (self.level + gained).min(self.room.max(self.level))
+    }
+}
+
 /// What a customer may use, all gateways together.
 #[derive(Clone, Copy)]
 pub struct Quota {
