Send no repeat whose connection comes up after its window, and write nothing more once given up

What came up after the window was written all the same.

Mend, where it is decided: Action::Send says `within` how long a repeat may still be written (Pending::repeats_for), and the attempt ends as never sent when that is over and it is not written whole. A client's end ends it by the same way (Attempt::called_off).

Twin: an exchange that was given up half written could go on being written, as the client library flushes what it holds before it closes. Wire::abandon lets no byte more through, and an attempt not written whole at its deadline is now known never to have run, where it counted as one that may have.

--- a/crates/model/src/sim/limiters.rs
+++ b/crates/model/src/sim/limiters.rs
@@ -245,7 +245,7 @@
     fn act(&mut self, number: u32, at: Micros, action: Action) {
         let life = self.limiters[number as usize].life;
         match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send { request, backend, timeout, .. } => {
                 let server = backend[1..].parse().expect("workers are named by number");
                 self.send_attempt(number, at, request as u32, server, timeout);
             }
--- a/src/bin/sedgestack-simhost/wire.rs
+++ b/src/bin/sedgestack-simhost/wire.rs
@@ -212,7 +212,7 @@
 pub fn write_action(out: &mut String, id: u64, action: &Action) {
     let ms = |us: Micros| us as f64 / 1000.0;
     let done = match action {
-        Action::Send { request, backend, timeout } => {
+        Action::Send { request, backend, timeout, .. } => {
             let wait = timeout.map(|t| format!(" maxWaitMs={}", ms(t))).unwrap_or_default();
             writeln!(out, "ISSUE gatewayId={id} call={request} backend={backend}{wait}")
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -747,7 +747,8 @@
         let more = more && left && class.effect.repeats_anywhere();
         let again = more && used < class.aim && now + used < r.deadline;
         let timeout = again.then_some(patience);
-        self.out.push(Action::Send { request: id, backend: backend.clone(), timeout });
+        let within = r.repeats_for(class.effect, now + self.settings.tick);
+        self.out.push(Action::Send { request: id, backend: backend.clone(), timeout, within });
         let attempt = r.attempts;
         r.attempts += 1;
         r.out += 1;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -264,11 +264,13 @@
 /// What a gateway is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send an attempt; give it up after `timeout`, or when the client's patience ends.
+    /// Send an attempt; give it up after `timeout`, or when the client's patience ends. What is not written whole
+    /// `within` so long is not to be sent at all: the window in which a repeat is dropped ends.
     Send {
         request: RequestId,
         backend: BackendId,
         timeout: Option<Micros>,
+        within: Option<Micros>,
     },
     /// Call off an attempt.
     Cancel {
--- a/src/net/destination.rs
+++ b/src/net/destination.rs
@@ -26,7 +26,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::calls;
 use super::figures::Figures;
@@ -57,6 +57,24 @@
     pub forward: Arc<Forward>,
     pub begun: Instant,
     pub deadline: Instant,
+    /// What is not written whole by then must not be sent at all.
+    pub written_by: Option<Instant>,
+}
+
+impl Attempt {
+    /// Waits until its client leaves, or its time to be written is over; how it ends then if it is not written.
+    async fn called_off(&self) -> Outcome {
+        let too_late = async {
+            match self.written_by {
+                Some(by) => sleep_until(by).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = self.forward.left.cancelled() => Outcome::Canceled,
+            () = too_late => Outcome::NotSent,
+        }
+    }
 }
 
 /// What a destination is asked to do.
@@ -124,6 +142,8 @@
     body: AtomicU64,
     /// An answer came before its request was whole: the counts tell nothing any more.
     doubtful: AtomicBool,
+    /// The exchange was given up: not a byte more is written.
+    abandoned: AtomicBool,
 }
 
 /// Length of the blank line that ends a head, with the line break before it.
@@ -137,7 +157,11 @@
     /// Guards drains: a request that waited for its connection while the destination began to drain must
     /// not begin to be written. Its attempt ends as never sent.
     fn may_write(&self, closed: bool) -> bool {
-        !(closed && self.between_requests())
+        !(self.abandoned.load(Relaxed) || (closed && self.between_requests()))
+    }
+
+    fn abandon(&self) {
+        self.abandoned.store(true, Relaxed);
     }
 
     /// Whether it served before, and then took no byte of the request that it was given.
@@ -210,7 +234,7 @@
 impl Counted {
     fn check(&self) -> io::Result<()> {
         if !self.wire.may_write(self.closed.load(Relaxed)) {
-            return Err(io::Error::other("the destination drains"));
+            return Err(io::Error::other("nothing is to be written any more"));
         }
         // Guards answers: bytes that wait here before a request belong to none, and would be read as its
         // answer. The runtime may not have seen them yet, nor that the other side has closed.
@@ -452,38 +476,43 @@
                     let exchange = exchange(&pool, request, &used, body, &fleet, &mut end);
                     let exchange = timeout_at(attempt.deadline, exchange);
                     tokio::pin!(exchange);
+                    let called_off = attempt.called_off();
                     tokio::select! {
                         biased;
-                        ended = &mut exchange => Some(ended),
-                        // Guards against beginning, or going on to write, what nobody waits for: a dial may be late
-                        // by seconds. What was written whole runs, and its end is waited for.
-                        () = attempt.forward.left.cancelled() => match wire(&used).is_some_and(|w| w.is_out(body)) {
-                            true => Some(exchange.await),
-                            false => None,
+                        ended = &mut exchange => Ok(ended),
+                        // Guards against beginning, or going on to write, what nobody waits for or what must not be
+                        // repeated any more: a dial may be late by seconds. What was written whole runs, and its end
+                        // is waited for.
+                        outcome = called_off => match wire(&used).is_some_and(|w| w.is_out(body)) {
+                            true => Ok(exchange.await),
+                            false => Err(outcome),
                         },
                     }
                 };
-                let Some(ended) = ended else {
-                    end.outcome = Outcome::Canceled;
-                    break;
-                };
+                // The client library could yet write what it holds before it closes.
+                let abandon = || wire(&used).inspect(|w| w.abandon());
                 end.outcome = match ended {
-                    Ok(Outcome::ConnectFailed) if closed.load(Relaxed) => Outcome::NotSent,
+                    Err(outcome) => {
+                        abandon();
+                        outcome
+                    }
+                    Ok(Err(_)) => match abandon().map_or(Outcome::ConnectFailed, |w| w.broke(body)) {
+                        // Guards repeats: with all of it written, it may have run or may yet.
+                        Outcome::Reset => Outcome::TimedOut,
+                        never => never,
+                    },
+                    Ok(Ok(Outcome::ConnectFailed)) if closed.load(Relaxed) => Outcome::NotSent,
                     // Guards against blaming a destination for a connection that ended while it stood idle:
                     // nothing was written to it, and there are others.
-                    Ok(Outcome::ConnectFailed) if wire(&used).is_some_and(|w| w.ended_idle()) => {
+                    Ok(Ok(Outcome::ConnectFailed)) if wire(&used).is_some_and(|w| w.ended_idle()) => {
                         COUNTERS.attempts_redialled.one();
                         continue;
                     }
                     // Guards against blaming a destination for want of descriptors here.
-                    Ok(Outcome::ConnectFailed) if wire(&used).is_none() && fleet.is_short() => {
+                    Ok(Ok(Outcome::ConnectFailed)) if wire(&used).is_none() && fleet.is_short() => {
                         Outcome::NotSent
                     }
-                    Ok(outcome) => outcome,
-                    // Guards repeats: without a connection nothing was written; with one, the client may
-                    // yet write what it holds before it closes.
-                    Err(_) if wire(&used).is_none() => Outcome::ConnectFailed,
-                    Err(_) => Outcome::TimedOut,
+                    Ok(Ok(outcome)) => outcome,
                 };
                 break;
             }
--- a/src/net/destination/tests.rs
+++ b/src/net/destination/tests.rs
@@ -188,7 +188,14 @@
         left: CancellationToken::new(),
     };
     let begun = Instant::now();
-    Attempt { request: 1, number, forward: Arc::new(forward), begun, deadline: begun + wait }
+    Attempt {
+        request: 1,
+        number,
+        forward: Arc::new(forward),
+        begun,
+        deadline: begun + wait,
+        written_by: None,
+    }
 }
 
 const LONG: Duration = Duration::from_secs(60);
@@ -407,3 +414,29 @@
     assert!(turned_away(StatusCode::GATEWAY_TIMEOUT, &headers));
     assert!(!turned_away(StatusCode::INTERNAL_SERVER_ERROR, &headers));
 }
+
+/// What the client library still holds of a request that was given up stays unwritten.
+#[tokio::test]
+async fn nothing_is_written_after_it_was_given_up() {
+    let (near, far) = std::os::unix::net::UnixStream::pair().unwrap();
+    near.set_nonblocking(true).unwrap();
+    far.set_nonblocking(true).unwrap();
+    let near = std::net::TcpStream::from(std::os::fd::OwnedFd::from(near));
+    let (fleet, _mail) = fleet();
+    let descriptor = fleet.sockets.clone().try_acquire_owned().unwrap();
+    let dialer = Dialer { addr: "127.0.0.1:1".parse().unwrap(), closed: Arc::default(), fleet };
+    let mut counted = dialer.counted(TcpStream::from_std(near).unwrap(), descriptor);
+    let half = std::future::poll_fn(|cx| Pin::new(&mut counted).poll_write(cx, b"POST /")).await;
+    assert_eq!(half.unwrap(), 6);
+    counted.wire.abandon();
+    let rest = std::future::poll_fn(|cx| Pin::new(&mut counted).poll_write(cx, b"rest")).await;
+    assert!(rest.is_err());
+    let rest = [std::io::IoSlice::new(b"rest")];
+    let rest = std::future::poll_fn(|cx| Pin::new(&mut counted).poll_write_vectored(cx, &rest)).await;
+    assert!(rest.is_err());
+    assert_eq!(counted.wire.broke(0), Outcome::ConnectFailed, "it never ran");
+    drop(counted);
+    let mut came = Vec::new();
+    std::io::Read::read_to_end(&mut { far }, &mut came).unwrap();
+    assert_eq!(came, b"POST /");
+}
--- a/src/net/module.rs
+++ b/src/net/module.rs
@@ -491,10 +491,10 @@
 
     fn act(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, backend, timeout } => {
+            Action::Send { request, backend, timeout, within } => {
                 let begun = self.ties.clock.instant(now);
-                let deadline = timeout.map(|t| begun + Duration::from_micros(t));
-                self.send(request, backend, begun, deadline);
+                let after = |span: Option<Micros>| span.map(|s| begun + Duration::from_micros(s));
+                self.send(request, backend, begun, after(timeout), after(within));
             }
             Action::Cancel { request, attempt } => {
                 let taker = self.requests.get(&request).and_then(|o| o.attempts.get(attempt as usize));
@@ -533,7 +533,14 @@
     }
 
     /// Hands an attempt to its destination; it ends at `deadline`, or at the request's own at the latest.
-    fn send(&mut self, request: RequestId, backend: BackendId, begun: Instant, deadline: Option<Instant>) {
+    fn send(
+        &mut self,
+        request: RequestId,
+        backend: BackendId,
+        begun: Instant,
+        deadline: Option<Instant>,
+        written_by: Option<Instant>,
+    ) {
         let Some(open) = self.requests.get_mut(&request) else { return };
         let attempt = open.attempts.len() as u32;
         // Guards against sending on what nobody waits for: the word that its client left may still be in the mailbox.
@@ -542,7 +549,8 @@
         let handle = self.destinations.get(&backend).filter(|_| may).map(|(handle, _)| handle.clone());
         open.out += 1;
         let deadline = deadline.map_or(open.deadline, |d| d.min(open.deadline));
-        let ordered = Attempt { request, number: attempt, forward: open.forward.clone(), begun, deadline };
+        let forward = open.forward.clone();
+        let ordered = Attempt { request, number: attempt, forward, begun, deadline, written_by };
         if !handle.as_ref().is_some_and(|h| h.order(Order::Attempt(ordered))) {
             self.at_once.push(AttemptEnd::bare(request, attempt, Outcome::NotSent, Duration::ZERO));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -100,6 +100,16 @@
     pub tried: Vec<BackendId>,
 }
 
+impl Pending {
+    /// How long a further attempt may still be sent, where the first that may have run set its repeats an end.
+    pub fn repeats_for(&self, effect: Effect, now: Micros) -> Option<Micros> {
+        match (&self.ran, effect) {
+            (Some((sent, ..)), Effect::Keyed { window, .. }) => Some((sent + window).saturating_sub(now)),
+            _ => None,
+        }
+    }
+}
+
 pub struct Flight {
     pub backend: BackendId,
     pub customer: CustomerId,
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -11,6 +11,7 @@
 mod script;
 mod size;
 mod upgrade;
+mod window;
 
 use std::io::Write;
 use std::net::Shutdown;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -80,6 +80,23 @@
     assert!(sends(&actions).is_empty());
 }
 
+/// An attempt may wait for its connection: what says until when a repeat is dropped goes with it.
+#[test]
+fn keyed_repeat_says_how_long_it_may_still_be_sent() {
+    let mut g = gateway(settings(), 2);
+    let within = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { within, .. } => Some(*within),
+            _ => None,
+        })
+    };
+    assert_eq!(within(&g.handle(START, &[request(1, 1, 0)])), Some(None), "nothing has run");
+    let broke = g.handle(START + 100 * MS, &[end(1, 0, Outcome::Reset, false)]);
+    let left = within(&broke).expect("it is repeated").expect("there is an end");
+    assert!(left <= 900 * MS && left > 890 * MS, "{left}");
+    assert_eq!(within(&g.handle(START, &[request(2, 0, 0)])), Some(None), "a safe one has no window");
+}
+
 #[test]
 fn draining_backend_gets_nothing_new_not_even_what_was_held() {
     for state in [BackendState::Draining, BackendState::Gone] {
