Answer a request that is half read when a connection that rested is to be closed

Found by reading, against "never read and dropped": told to stop or to drain, `front::connection` asked the server library to shut down in order. On a connection that had an answer before, the library takes it for idle as long as no head is whole (`disable_keep_alive`, `KA::Idle`), drops the part it has read, and closes: the client's request is read and lost. New connections are not met; the library keeps those on which bytes were read.

Bytes read ahead behind a request keep it from counting as idle.

Tests: tests/limiter/shutdown.rs; what the machine accepted before the listener closed, and a second SIGTERM, held already.

--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -96,6 +96,8 @@
     task: Option<AbortHandle>,
     /// Told to go.
     leaving: bool,
+    /// It has had an answer.
+    answered: bool,
 }
 
 /// The sockets without their I/O.
@@ -112,7 +114,8 @@
 impl Table {
     fn enter(&mut self, now: Instant) -> u64 {
         self.last += 1;
-        let entry = Entry { stage: Stage::Unfinished, since: now, task: None, leaving: false };
+        let entry =
+            Entry { stage: Stage::Unfinished, since: now, task: None, leaving: false, answered: false };
         self.open.insert(self.last, entry);
         self.since[UNFINISHED].insert((now, self.last));
         self.last
@@ -129,6 +132,7 @@
     fn set(&mut self, id: u64, stage: Stage, now: Instant) {
         self.untime(id);
         let Some(entry) = self.open.get_mut(&id).filter(|e| !e.leaving) else { return };
+        entry.answered |= stage == Stage::Answering;
         (entry.stage, entry.since) = (stage, now);
         if let Some(place) = TIMED.iter().position(|s| *s == stage) {
             self.since[place].insert((now, id));
@@ -284,6 +288,12 @@
             table.set(self.id, to, Instant::now());
         }
     }
+
+    /// Whether a further request has come in part, on a connection that had an answer.
+    pub fn reads_on(&self) -> bool {
+        let table = self.sockets.table();
+        table.open.get(&self.id).is_some_and(|e| e.answered && e.stage == Stage::Unfinished)
+    }
 }
 
 impl Drop for Place {
@@ -408,7 +418,8 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let done = Pin::new(&mut *self.downstream.stream()).poll_flush(cx);
         if matches!(done, Poll::Ready(Ok(()))) {
-            self.place.goes(Stage::Answering, Stage::Idle);
+            let next = if self.downstream.ahead().is_empty() { Stage::Idle } else { Stage::Unfinished };
+            self.place.goes(Stage::Answering, next);
         }
         done
     }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,9 +1,11 @@
 //! The downstream connections: the platform's requests in, final answers out.
 
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use axum::body::Body;
@@ -504,10 +506,26 @@
         match ended {
             Some(ended) => ended,
             None => {
-                connection.as_mut().graceful_shutdown();
-                tokio::select! {
-                    ended = connection => ended,
+                // Guards a request that has come in part on a connection that rested: the server library would drop
+                // what it has read and close. Its answer closes the connection.
+                let whole = poll_fn(|cx| match connection.as_mut().poll(cx) {
+                    Poll::Ready(ended) => Poll::Ready(Some(ended)),
+                    Poll::Pending if place.reads_on() => Poll::Pending,
+                    Poll::Pending => Poll::Ready(None),
+                });
+                let ended = tokio::select! {
+                    ended = whole => ended,
                     () = downstream.gone() => return,
+                };
+                match ended {
+                    Some(ended) => ended,
+                    None => {
+                        connection.as_mut().graceful_shutdown();
+                        tokio::select! {
+                            ended = connection => ended,
+                            () = downstream.gone() => return,
+                        }
+                    }
                 }
             }
         }
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -9,6 +9,7 @@
 mod registers;
 #[path = "../common/script.rs"]
 mod script;
+mod shutdown;
 mod size;
 mod upgrade;
 mod window;
--- /dev/null
+++ b/tests/limiter/shutdown.rs
@@ -0,0 +1,78 @@
+//! The program's end against what crosses it.
+
+use crate::harness::*;
+use crate::script::reset;
+use std::net::TcpStream;
+
+/// Tells the limiter to stop, and waits until a connection that rests has been closed for it: one that was accepted
+/// later than those under test, so that their turn has come before.
+fn stop_and_wait_for_a_close(limiter: &Limiter) {
+    let mut resting = limiter.connect();
+    assert_eq!(resting.ask(&read("large", 1)).status(), 200);
+    limiter.signal("TERM");
+    assert!(resting.answer().is_none(), "it is closed");
+}
+
+/// Half of a next request has been read on a connection that rested: it is answered, not dropped.
+#[test]
+fn a_request_half_written_on_a_resting_connection_is_answered_before_the_end() {
+    let destination = Destination::answering("a report");
+    let (limiter, _push) = crate::limiter(vec![destination.entry("s-1", "Ready")]);
+    let mut client = limiter.connect();
+    assert_eq!(client.ask(&read("large", 1)).status(), 200);
+    let next = read("large", 1);
+    let (half, rest) = next.split_at(next.len() / 2);
+    client.write(half);
+    // What came on a connection before an answer on another one has been read by then.
+    assert_eq!(limiter.ask(&read("large", 1)).status(), 200);
+    stop_and_wait_for_a_close(&limiter);
+    client.write(rest);
+    let answer = client.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let (status, _) = limiter.end();
+    assert!(status.success());
+}
+
+/// A second order to stop changes nothing: what was taken is answered.
+#[test]
+fn told_twice_to_stop_it_still_answers_what_it_has() {
+    let (destination, release) = Destination::holding();
+    let (limiter, _push) = crate::limiter(vec![destination.entry("s-1", "Ready")]);
+    let mut client = limiter.connect();
+    client.write(&read("large", 1));
+    destination.until_asked();
+    limiter.signal("TERM");
+    while limiter.connect().ask("GET /ready HTTP/1.1\r\n\r\n").status() == 200 {}
+    limiter.signal("TERM");
+    limiter.signal("INT");
+    release.send(()).unwrap();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    let (status, _) = limiter.end();
+    assert!(status.success());
+}
+
+/// Connections that the machine accepted while the program stood still, with a request each, and one that is reset.
+#[test]
+fn what_the_machine_accepted_before_the_listener_closed_is_answered() {
+    let destination = Destination::answering("a report");
+    let (limiter, _push) = crate::limiter(vec![destination.entry("s-1", "Ready")]);
+    limiter.until_ready();
+    limiter.signal("STOP");
+    let mut clients: Vec<Client> = (0..5)
+        .map(|_| {
+            let mut client = limiter.connect();
+            client.write(&read("large", 1));
+            client
+        })
+        .collect();
+    reset(TcpStream::connect(limiter.address).expect("the machine accepts"));
+    limiter.signal("TERM");
+    // Frozen for longer than it goes on accepting after the order to stop.
+    std::thread::sleep(std::time::Duration::from_millis(600));
+    limiter.signal("CONT");
+    for client in &mut clients {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+    let (status, _) = limiter.end();
+    assert!(status.success());
+}
