Refuse settings out of range by key and what was expected, at a reload as at a start

Ranges were checked by Gateway::new alone, so a reload took what a start refuses, and the text named "a plan's figure". Document::decode checks them now, with the key's path, the value and what was expected; names must be there and differ, selfIndex be below nInstances, caps.maxAttempts be 1 or more, rules.coldFrom be a share. Keys that nobody knows do no harm.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,7 +2,7 @@
 //!
 //! Translates only: JSON into [`Settings`] and the figures that the program round a gateway needs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use serde::Deserialize;
@@ -215,31 +215,98 @@
     stop_sending_within_ms: f64,
 }
 
+/// What is wrong with the value of `key` (its path within the settings).
+fn fault(key: &str, value: impl fmt::Display, expected: &str) -> SettingFault {
+    SettingFault(format!("settings.{key}: {value}, expected {expected}"))
+}
+
 fn span(ms: f64, key: &str) -> Result<Micros, SettingFault> {
-    micros(ms).ok_or_else(|| SettingFault(format!("settings.{key} is not a time")))
+    micros(ms).ok_or_else(|| fault(key, ms, "a time in milliseconds of 0 or more"))
+}
+
+/// Figures by their keys, none of which may be less than nothing.
+fn none_negative<'a>(figures: impl IntoIterator<Item = (String, &'a f64)>) -> Result<(), SettingFault> {
+    let negative = figures.into_iter().find(|(_, value)| !value.is_finite() || **value < 0.0);
+    negative.map_or(Ok(()), |(key, value)| Err(fault(&key, value, "a number of 0 or more")))
+}
+
+/// Names by which requests say what they are: each there, and once.
+fn distinct<'a>(key: &str, names: impl IntoIterator<Item = &'a String>) -> Result<(), SettingFault> {
+    let mut seen = BTreeSet::new();
+    for (n, name) in names.into_iter().enumerate() {
+        let key = format!("{key}[{n}].name");
+        if name.is_empty() {
+            return Err(fault(&key, "''", "a name"));
+        }
+        if !seen.insert(name) {
+            return Err(fault(&key, format!("'{name}'"), "a name that no other has"));
+        }
+    }
+    match seen.is_empty() {
+        true => Err(fault(key, "[]", "one entry at least")),
+        false => Ok(()),
+    }
 }
 
 impl Document {
+    /// What no part of the program could go by is refused here, for a start and a reload alike.
+    fn check(&self) -> Result<(), SettingFault> {
+        distinct("profiles", self.profiles.iter().map(|p| &p.name))?;
+        distinct("plans", self.plans.iter().map(|p| &p.name))?;
+        if self.self_index >= self.n_instances.max(1) {
+            return Err(fault("selfIndex", self.self_index, "a number below nInstances"));
+        }
+        if self.caps.max_attempts == 0 {
+            return Err(fault("caps.maxAttempts", 0, "1 or more"));
+        }
+        if self.rules.cold_from > 1.0 {
+            return Err(fault("rules.coldFrom", self.rules.cold_from, "a share from 0 to 1"));
+        }
+        let profiles = self.profiles.iter().enumerate().flat_map(|(n, p)| {
+            let figures = [("credit", &p.credit), ("lateValue", &p.late_value)];
+            figures.map(|(key, value)| (format!("profiles[{n}].{key}"), value))
+        });
+        let plans = self.plans.iter().enumerate().flat_map(|(n, p)| {
+            let figures = [
+                ("rate", &p.rate),
+                ("mostAtOnce", &p.most_at_once),
+                ("capRate", &p.cap_rate),
+                ("hardBurst", &p.hard_burst),
+                ("overrunCost", &p.overrun_cost),
+                ("valueFactor", &p.value_factor),
+            ];
+            figures.map(|(key, value)| (format!("plans[{n}].{key}"), value))
+        });
+        let others = [
+            ("rules.coldFrom", &self.rules.cold_from),
+            ("rules.fallMultiple", &self.rules.fall_multiple),
+            ("familyInfo.mostUnits", &self.family_info.most_units),
+        ];
+        none_negative(profiles.chain(plans).chain(others.map(|(key, value)| (key.to_string(), value))))
+    }
+
     /// Checks the figures and gives a gateway's settings, the names in them and the program's limits.
     pub fn decode(self) -> Result<(Settings, Names, Limits), SettingFault> {
+        self.check()?;
         let mut classes = Vec::new();
-        for p in &self.profiles {
+        for (n, p) in self.profiles.iter().enumerate() {
+            let key = |key: &str| format!("profiles[{n}].{key}");
             let group = match p.key_scope.as_str() {
                 "zone" => Group::Zone,
                 "cell" => Group::Cell,
                 "all" | "" => Group::All,
-                other => return Err(SettingFault(format!("settings.profiles: keyScope {other} is unknown"))),
+                other => return Err(fault(&key("keyScope"), other, "all, zone or cell")),
             };
             let effect = match p.repeat.as_str() {
                 "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed { group, window: span(p.window_ms, "profiles: windowMs")? },
+                "keyed" => Effect::Keyed { group, window: span(p.window_ms, &key("windowMs"))? },
                 "unsafe" => Effect::Unsafe,
-                other => return Err(SettingFault(format!("settings.profiles: repeat {other} is unknown"))),
+                other => return Err(fault(&key("repeat"), other, "safe, keyed or unsafe")),
             };
             classes.push(Class {
                 name: p.name.clone(),
                 worth: p.credit,
-                aim: span(p.goal_time_ms.min(p.deadline_ms), "profiles: goalTimeMs")?,
+                aim: span(p.goal_time_ms, &key("goalTimeMs"))?.min(span(p.deadline_ms, &key("deadlineMs"))?),
                 late_share: p.late_value,
                 effect,
             });
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -361,7 +361,7 @@
 #[test]
 fn a_faulty_configuration_is_refused_by_its_key() {
     let nowhere = "127.0.0.1:1".parse().unwrap();
-    let sound = config(nowhere, nowhere, vec![]);
+    let sound = self::config(nowhere, nowhere, vec![]);
     let with = |path: &str, value: Value| {
         let mut config = sound.clone();
         *config.pointer_mut(path).expect("the key is there") = value;
@@ -369,8 +369,37 @@
     };
     for (config, key) in [
         (with("/settings/caps/maxOpen", json!("many")), "settings.caps.maxOpen"),
-        (with("/settings/profiles/0/repeat", json!("often")), "settings.profiles"),
-        (with("/settings/granularityMs", json!(-1)), "settings.granularityMs"),
+        (
+            with("/settings/profiles/0/repeat", json!("often")),
+            "settings.profiles[0].repeat: often, expected safe, keyed or unsafe",
+        ),
+        (
+            with("/settings/profiles/1/keyScope", json!("moon")),
+            "settings.profiles[1].keyScope: moon, expected all, zone or cell",
+        ),
+        (
+            with("/settings/granularityMs", json!(-1)),
+            "settings.granularityMs: -1, expected a time in milliseconds of 0 or more",
+        ),
+        (
+            with("/settings/profiles/1/deadlineMs", json!(-5)),
+            "settings.profiles[1].deadlineMs: -5, expected a time in milliseconds of 0 or more",
+        ),
+        (
+            with("/settings/plans/1/rate", json!(-2)),
+            "settings.plans[1].rate: -2, expected a number of 0 or more",
+        ),
+        (
+            with("/settings/plans/1/name", json!("small")),
+            "settings.plans[1].name: 'small', expected a name that no other has",
+        ),
+        (with("/settings/profiles", json!([])), "settings.profiles: [], expected one entry at least"),
+        (with("/settings/selfIndex", json!(1)), "settings.selfIndex: 1, expected a number below nInstances"),
+        (with("/settings/caps/maxAttempts", json!(0)), "settings.caps.maxAttempts: 0, expected 1 or more"),
+        (
+            with("/settings/rules/coldFrom", json!(1.5)),
+            "settings.rules.coldFrom: 1.5, expected a share from 0 to 1",
+        ),
         (with("/listen", json!("here")), "listen"),
         (with("/seed", json!("seed")), "seed"),
         (with("/limits/sockets", json!(8)), "limits.sockets"),
@@ -383,6 +412,23 @@
         assert!(!out.status.success() && log.contains(key), "{key}: {log}");
         assert!(!log.contains("panicked"), "{log}");
     }
+    // The same is refused at a reload, and what ran goes on.
+    let destination = Destination::answering("a report");
+    let (discovery, _push) = discovery();
+    let (counter, _) = counter(true);
+    let running = self::config(discovery, counter, vec![destination.entry("s-1", "Ready")]);
+    let mut limiter = Limiter::start(&running);
+    let mut faulty = running.clone();
+    faulty["settings"]["plans"][0]["rate"] = json!(-2);
+    faulty["discovery"] = json!("127.0.0.1:1");
+    let told = limiter.reload(&faulty.to_string());
+    assert!(told.contains("refused") && told.contains("settings.plans[0].rate: -2, expected"), "{told}");
+    assert_eq!(limiter.ask(&read("large", 1)).status(), 200);
+    // A key that nobody knows does no harm.
+    let mut unknown = running;
+    unknown["settings"]["caps"]["moonPhase"] = json!({"full": true});
+    let told = limiter.reload(&unknown.to_string());
+    assert!(!told.contains("refused"), "{told}");
     let unset = command("{}").env_remove("LB_CONFIG").output().expect("the program starts");
     assert!(!unset.status.success() && String::from_utf8_lossy(&unset.stderr).contains("LB_CONFIG"));
 }
