--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -1,6 +1,7 @@
 //! The built program on loopback sockets, among scripted peers.
 
 mod client_leaves;
+mod cold;
 mod discovery;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod filter;
