Answer what is taken late in a stop before the program ends; name a known fault of the time told

Its deadline is now no later than 0.1 s before the end (LastMoment). Test: shutdown: what_is_taken_late_in_a_stop_is_answered_before_the_end.

--- a/src/main.rs
+++ b/src/main.rs
@@ -26,7 +26,7 @@
 use net::peers::Peers;
 use net::recorder::Recorder;
 use net::settings::{self, Settings};
-use net::shutdown::{Phase, Signals};
+use net::shutdown::{LastMoment, Phase, Signals};
 use net::tier::{Base, Tier};
 use net::watch::Tally;
 use net::{cordons, front, list, log, tier, turn};
@@ -152,12 +152,14 @@
         tokio::spawn(ops::serve(listener, ops));
     }
     let longest = config::span(config.limits.longest_deadline);
-    let front = front::Front::new(config.names, &config.settings, longest, ready, stopping, module, figures);
+    let last_moment = LastMoment::default();
+    let ends = (stopping, last_moment.clone());
+    let front = front::Front::new(config.names, &config.settings, longest, ready, ends, module, figures);
     tokio::select! {
         served = front::serve(config.listen, config.downstream_connections, front) => {
             served.map_err(|e| format!("listen: {}: {e}", config.listen))
         }
-        () = signals.follow(phase, moves, longest) => Ok(()),
+        () = signals.follow(phase, moves, longest, last_moment) => Ok(()),
         ended = decisions => Err(format!("the module ended: {ended:?}")),
     }
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -37,7 +37,7 @@
 use super::message::{Forward, Message, Origin, Reply, Taken};
 use super::metrics::COUNTERS;
 use super::reuse;
-use super::shutdown::Phase;
+use super::shutdown::{LastMoment, Phase};
 use crate::say;
 
 /// A client's deadline counts from when it sent; its request took up to this long to come.
@@ -65,6 +65,7 @@
     effects: Vec<Effect>,
     ready: Arc<AtomicBool>,
     stopping: watch::Receiver<Phase>,
+    last_moment: LastMoment,
     module: mpsc::Sender<Message>,
     next: AtomicU64,
     /// What a request may say: units and customers' sets within the settings, a deadline no later than theirs.
@@ -83,7 +84,7 @@
         settings: &Settings,
         longest_deadline: Duration,
         ready: Arc<AtomicBool>,
-        stopping: watch::Receiver<Phase>,
+        (stopping, last_moment): (watch::Receiver<Phase>, LastMoment),
         module: mpsc::Sender<Message>,
         figures: Arc<Figures>,
     ) -> Front {
@@ -94,6 +95,7 @@
             effects,
             ready,
             stopping,
+            last_moment,
             module,
             next: AtomicU64::new(1),
             most_units,
@@ -304,7 +306,8 @@
     if let Some((place, _)) = &connection {
         place.is(Stage::Held);
     }
-    let deadline = came + head.patience.saturating_sub(ON_THE_WAY);
+    // Guards what is taken late in a stop: the program ends before its client gives up.
+    let deadline = front.last_moment.before(came + head.patience.saturating_sub(ON_THE_WAY));
     let id = front.next.fetch_add(1, Relaxed);
     let request = Request {
         id,
--- a/src/net/front/tests.rs
+++ b/src/net/front/tests.rs
@@ -11,6 +11,7 @@
         effects: vec![Effect::Safe],
         ready: Arc::default(),
         stopping,
+        last_moment: LastMoment::default(),
         module,
         next: AtomicU64::new(1),
         most_units: 4.0,
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -1,6 +1,7 @@
 //! Signals: SIGTERM ends the program in order, SIGHUP reads the addresses again, SIGUSR1 prints the counters.
 
 use std::io;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -19,6 +20,19 @@
 const LEAST_LONGEST: Duration = Duration::from_secs(3);
 /// ... and kills no sooner than this after it; what is left of it is for leaving.
 const BEFORE_THE_KILL: Duration = Duration::from_millis(600);
+/// All answers are out so long before the end.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
+/// The moment by which all that was taken must be answered, once the program was told to stop.
+#[derive(Clone, Default)]
+pub struct LastMoment(Arc<OnceLock<Instant>>);
+
+impl LastMoment {
+    /// `deadline`, or this moment where it comes sooner.
+    pub fn before(&self, deadline: Instant) -> Instant {
+        self.0.get().map_or(deadline, |last| deadline.min(*last))
+    }
+}
 
 /// How far the program is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -57,6 +71,7 @@
         phase: watch::Sender<Phase>,
         addresses: watch::Sender<Addresses>,
         longest_deadline: Duration,
+        last_moment: LastMoment,
     ) {
         loop {
             tokio::select! {
@@ -67,10 +82,12 @@
             }
         }
         let told = Instant::now();
+        let end = told + longest_deadline.max(LEAST_LONGEST) + BEFORE_THE_KILL;
+        let _ = last_moment.0.set(end - LAST_ANSWERS);
         phase.send_replace(Phase::Stopping);
         sleep_until(told + STILL_COMING).await;
         phase.send_replace(Phase::Closing);
-        sleep_until(told + longest_deadline.max(LEAST_LONGEST) + BEFORE_THE_KILL).await;
+        sleep_until(end).await;
     }
 }
 
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -12,6 +12,7 @@
 mod script;
 mod shutdown;
 mod size;
+mod told_time;
 mod upgrade;
 mod window;
 
--- a/tests/limiter/shutdown.rs
+++ b/tests/limiter/shutdown.rs
@@ -76,3 +76,31 @@
     let (status, _) = limiter.end();
     assert!(status.success());
 }
+
+/// A request that is taken late in a stop has its answer before the program ends, though its client would wait for longer
+/// and its server hangs.
+#[test]
+fn what_is_taken_late_in_a_stop_is_answered_before_the_end() {
+    let (hanging, _release) = Destination::holding();
+    let (discovery, _push) = discovery();
+    let (counter, _) = counter(true);
+    let mut config = config(discovery, counter, vec![hanging.entry("s-1", "Ready")]);
+    for profile in config["settings"]["profiles"].as_array_mut().expect("a list") {
+        profile["deadlineMs"] = serde_json::json!(3000.0);
+        profile["goalTimeMs"] = serde_json::json!(3000.0);
+    }
+    let limiter = Limiter::start(&config);
+    let mut client = limiter.connect();
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
+    let late = read("large", 1);
+    let (half, rest) = late.split_at(late.len() / 2);
+    client.write(half);
+    assert_eq!(limiter.ask("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
+    limiter.signal("TERM");
+    // Later than the 0.6 s that are left for leaving: its 3 s end after the program.
+    std::thread::sleep(std::time::Duration::from_millis(1_200));
+    client.write(rest);
+    assert!(client.answer().is_some(), "it has its one answer");
+    let (status, _) = limiter.end();
+    assert!(status.success());
+}
--- /dev/null
+++ b/tests/limiter/told_time.rs
@@ -0,0 +1,43 @@
+//! The time that an attempt tells its server.
+
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::harness::*;
+use crate::script::Unopened;
+
+/// A connection that comes up late leaves its request less time than there was as its attempt was decided.
+#[test]
+fn the_time_told_to_a_server_is_what_is_left_as_the_request_is_written() {
+    let unopened = Unopened::listen();
+    let late = json!({"id": "s-1", "addr": unopened.address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
+        "state": "Ready", "weight": 1.0, "started_ms": 0});
+    let (discovery, _push) = discovery();
+    let (counter, _) = counter(true);
+    let mut config = config(discovery, counter, vec![late]);
+    config["settings"]["caps"]["connectTimeoutMs"] = json!(7000.0);
+    let mut limiter = Limiter::start(&config);
+    let mut client = limiter.connect();
+    let begun = Instant::now();
+    client.write(&read("large", 1));
+    limiter.until(|count| count("dials") == 1);
+    std::thread::sleep(Duration::from_millis(400));
+    let (came, when) = channel();
+    let came = Mutex::new(came);
+    let server = Destination::on(unopened.open(), move |stream| {
+        came.lock().unwrap().send(Instant::now()).unwrap();
+        ok(stream, "a report");
+    });
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    let waited = when.recv_timeout(HUNG).unwrap().duration_since(begun);
+    let told: u64 = server.seen()[0].header("x-deadline-ms").expect("it tells").parse().expect("a number");
+    let left = Duration::from_millis(8_000).saturating_sub(waited);
+    // The page's slack for a further attempt.
+    assert!(
+        Duration::from_millis(told) <= left + Duration::from_millis(150),
+        "{told} ms told, {left:?} left"
+    );
+}
