Word a server's entry, a loopback listener and a silenced watch once in the tests

The entry stood five times (Destination, three tests with a late connection, the cold one), the listener four times, the first watch that falls silent three times. Assertions are as they were; one comment in net/front said the wrong thing. No code that ships changes.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -398,7 +398,7 @@
     Router::new().route("/ready", get(ready)).fallback(take).with_state(Arc::new(front))
 }
 
-/// Binds the downstream connection's address with SO_REUSEPORT, so that the process that replaces this one can
+/// Binds the address for clients with SO_REUSEPORT, so that the process that replaces this one can
 /// listen beside it. Errors: the address can't be bound.
 fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     let listener = reuse::listener(listen)?;
--- a/src/net/list/tests.rs
+++ b/src/net/list/tests.rs
@@ -180,6 +180,15 @@
         World { calls, told, moves, kept: Vec::new() }
     }
 
+    /// One whose first watch has said `text` and falls silent.
+    async fn silenced(text: &str) -> World {
+        let mut world = World::new();
+        let mut first = world.asked().await;
+        first.say(text).await;
+        world.kept.push(first);
+        world
+    }
+
     async fn asked(&mut self) -> Asked {
         let (address, mut line) = self.calls.recv().await.expect("the list asks");
         let mut head = Vec::new();
@@ -220,11 +229,8 @@
         list(2, false) + &list(3, true)[..9],
     ] {
         for hanging in 0..=2 {
-            let mut world = World::new();
-            let mut first = world.asked().await;
-            first.say(&before).await;
+            let mut world = World::silenced(&before).await;
             let silent = Instant::now();
-            world.kept.push(first);
             world.hang(hanging).await;
             let mut next = world.asked().await;
             let told = if before.contains("\"version\":2") { 2 } else { 1 };
@@ -262,10 +268,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_call_that_hangs_from_before_discovery_came_back_does_not_use_up_the_time_after() {
     for down in (0..9_000).step_by(130) {
-        let mut world = World::new();
-        let mut first = world.asked().await;
-        first.say("\n").await;
-        world.kept.push(first);
+        let mut world = World::silenced("\n").await;
         let back = Instant::now() + Duration::from_millis(down);
         let mut call = world.asked().await;
         while call.at < back {
@@ -319,10 +322,7 @@
 async fn a_reload_is_followed_within_four_seconds() {
     for next in [1, 2] {
         for hanging in 0..=2 {
-            let mut world = World::new();
-            let mut first = world.asked().await;
-            first.say("\n").await;
-            world.kept.push(first);
+            let mut world = World::silenced("\n").await;
             let reloaded = Instant::now();
             world.moves.send_replace(at(next));
             world.hang(hanging).await;
--- a/tests/limiter/client_leaves.rs
+++ b/tests/limiter/client_leaves.rs
@@ -36,8 +36,7 @@
 fn an_attempt_whose_dial_is_late_is_not_begun_for_a_client_that_left() {
     for go in WAYS {
         let unopened = Unopened::listen();
-        let entry = json!({"id": "s-1", "addr": unopened.address.to_string(), "zone": "room-a", "kind": "small",
-            "cell": 1, "state": "Ready", "weight": 1.0, "started_ms": 0});
+        let entry = entry(unopened.address, "s-1", "Ready", 0);
         let (config, _push) = patient(vec![entry]);
         let mut limiter = Limiter::start(&config);
         let mut client = limiter.connect();
--- a/tests/limiter/cold.rs
+++ b/tests/limiter/cold.rs
@@ -45,8 +45,7 @@
     }
 
     fn entry(&self, id: &str, state: &str, started_ms: u64) -> Value {
-        json!({"id": id, "addr": self.address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
-               "state": state, "weight": 1.0, "started_ms": started_ms})
+        entry(self.address, id, state, started_ms)
     }
 }
 
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -62,9 +62,19 @@
     Some(message)
 }
 
+fn loopback() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("loopback has a port")
+}
+
+/// A server as discovery lists it.
+pub fn entry(address: SocketAddr, id: &str, state: &str, started_ms: u64) -> Value {
+    json!({"id": id, "addr": address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
+           "state": state, "weight": 1.0, "started_ms": started_ms})
+}
+
 /// Listens on loopback and runs `script` on a thread for each connection.
 pub fn listen(script: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    listen_on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), script)
+    listen_on(loopback(), script)
 }
 
 /// Runs `script` on a thread for each connection that comes up.
@@ -97,7 +107,7 @@
 
 impl Destination {
     pub fn start(script: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Destination {
-        Destination::on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), script)
+        Destination::on(loopback(), script)
     }
 
     pub fn on(listener: TcpListener, script: impl Fn(&mut TcpStream) + Send + Sync + 'static) -> Destination {
@@ -147,8 +157,7 @@
     }
 
     pub fn entry(&self, id: &str, state: &str) -> Value {
-        json!({"id": id, "addr": self.address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
-               "state": state, "weight": 1.0, "started_ms": 0})
+        entry(self.address, id, state, 0)
     }
 }
 
@@ -161,7 +170,7 @@
 pub fn discovery_wording(
     word: impl Fn(&Value) -> String + Send + Sync + 'static,
 ) -> (SocketAddr, Sender<Value>) {
-    discovery_on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), word)
+    discovery_on(loopback(), word)
 }
 
 /// Discovery on a listener of the test's.
@@ -195,7 +204,7 @@
 
 /// A counter that adds up by name, for as long as a connection stands; each connection is told of.
 pub fn counter(answers: bool) -> (SocketAddr, Receiver<()>) {
-    counter_on(TcpListener::bind("127.0.0.1:0").expect("loopback has a port"), answers)
+    counter_on(loopback(), answers)
 }
 
 /// A counter on a listener of the test's.
--- a/tests/limiter/told_time.rs
+++ b/tests/limiter/told_time.rs
@@ -13,8 +13,7 @@
 #[test]
 fn the_time_told_to_a_server_is_what_is_left_as_the_request_is_written() {
     let unopened = Unopened::listen();
-    let late = json!({"id": "s-1", "addr": unopened.address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
-        "state": "Ready", "weight": 1.0, "started_ms": 0});
+    let late = entry(unopened.address, "s-1", "Ready", 0);
     let (discovery, _push) = discovery();
     let (counter, _) = counter(true);
     let mut config = config(discovery, counter, vec![late]);
--- a/tests/limiter/window.rs
+++ b/tests/limiter/window.rs
@@ -23,8 +23,7 @@
         let _ = stream.shutdown(Shutdown::Both);
     });
     let unopened = Unopened::listen();
-    let late = json!({"id": "s-2", "addr": unopened.address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
-        "state": "Ready", "weight": 1.0, "started_ms": 0});
+    let late = entry(unopened.address, "s-2", "Ready", 0);
     let (discovery, push) = discovery();
     let (counter, _) = counter(true);
     let mut config = config(discovery, counter, vec![first.entry("s-1", "Ready")]);
