Show that an attempt whose answer has begun ends as one that can't have run

A backend that sends the head of an answer and hangs: at the attempt's deadline its end is ConnectFailed, at the end of the idempotency window NotSent, as the client leaves Canceled, on new and on reused connections alike. Seen by a caller: a keyed request ran at a second backend after the window of its first run (102 attempts for 101 requests, attempts_connect_failed=1).

--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -1,5 +1,7 @@
 //! Attempts and health checks on real sockets, before backends that a test scripts.
 
+mod answer_begun;
+
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 
 use super::actor::BackendActor;
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -1,5 +1,6 @@
 //! The built program on loopback sockets, among scripted peers.
 
+mod answer_begun;
 mod client_leaves;
 mod cold;
 mod discovery;
