Word a request's head once its connection is up, so that the time told is what is left

Callers' backends were told more time than was left where a connection came up late (7,997 ms for 6,967), up to the connect time-out, and worked on for clients that had given up.

Cause: the head was worded before the client library took a connection from its pool or dialled one. The upstream side now has a pool of its own; an attempt acquires an open connection, words the head, and sends it, also where a dead pooled connection is replaced. This holds because nothing that takes time is left between the wording and the first byte.

--- a/src/net/upstream/actor.rs
+++ b/src/net/upstream/actor.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 
-use axum::http::uri::Authority;
+use axum::http::HeaderValue;
 use futures_util::future::{abortable, AbortHandle, Aborted};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use sedgestack::{BackendId, Outcome, RequestId};
@@ -15,8 +15,10 @@
 use tokio::time::Instant;
 
 use super::attempt::{Attempt, AttemptRun};
-use super::dialer::{pool, Dialer, Pool};
+use super::dialer::Dialer;
 use super::health_check::{check_health, HealthCheckResult};
+use super::pool::Pool;
+use super::request::host_header;
 use super::UpstreamShared;
 use crate::net::control::message::{AttemptOutcome, Message};
 use crate::net::runtime::metrics::COUNTERS;
@@ -100,7 +102,7 @@
 pub(super) struct BackendActor {
     backend: BackendId,
     pool: Pool,
-    authority: Authority,
+    host: HeaderValue,
     closed: Arc<AtomicBool>,
     shared: Arc<UpstreamShared>,
     attempts: FuturesUnordered<BoxedFuture<EndedAttempt>>,
@@ -112,10 +114,10 @@
     pub(super) fn new(backend: BackendId, dialer: Dialer) -> BackendActor {
         BackendActor {
             backend,
-            authority: dialer.addr.to_string().try_into().expect("an address is an authority"),
+            host: host_header(dialer.addr),
             closed: dialer.backend_closed.clone(),
             shared: dialer.shared.clone(),
-            pool: pool(dialer),
+            pool: Pool::new(dialer),
             attempts: FuturesUnordered::new(),
             cancel_handles: HashMap::new(),
             health_checks: FuturesUnordered::new(),
@@ -166,7 +168,7 @@
         AttemptRun {
             attempt,
             pool: self.pool.clone(),
-            authority: self.authority.clone(),
+            host: self.host.clone(),
             backend_closed: self.closed.clone(),
             shared: self.shared.clone(),
         }
@@ -174,9 +176,9 @@
 
     fn start_health_check(&mut self, begun: Instant, deadline: Instant) {
         COUNTERS.probes.increment();
-        let (pool, authority, shared) = (self.pool.clone(), self.authority.clone(), self.shared.clone());
+        let (pool, host, shared) = (self.pool.clone(), self.host.clone(), self.shared.clone());
         self.health_checks.push(Box::pin(async move {
-            let result = check_health(&pool, &authority, &shared.names, deadline).await;
+            let result = check_health(&pool, &host, &shared.names, deadline).await;
             EndedHealthCheck { begun, result }
         }));
     }
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::http::uri::Authority;
-use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
+use axum::http::HeaderValue;
 use sedgestack::{Outcome, RequestId};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use super::counted_io::{captured_progress, ExchangeProgress};
-use super::dialer::Pool;
+use super::connection::Connection;
+use super::counted_io::ExchangeProgress;
+use super::pool::Pool;
 use super::request::build_request;
 use super::response::exchange;
 use super::UpstreamShared;
@@ -46,12 +46,11 @@
     }
 }
 
-/// How one exchange of an attempt ended.
-enum ExchangeEnd {
-    /// By itself: an answer, or a connection that failed.
-    Finished(Outcome),
+/// How the wait for a step of an attempt ended.
+enum StepEnd<T> {
+    Finished(T),
     DeadlinePassed,
-    /// Withdrawn before it was written whole.
+    /// Withdrawn before the request was written whole.
     Withdrawn(Outcome),
 }
 
@@ -62,12 +61,12 @@
     UseAnotherConnection,
 }
 
-/// An attempt as a backend's actor runs it. The deadline, and a cancel, drop the exchange, and the client library closes
-/// a connection whose exchange was dropped.
+/// An attempt as a backend's actor runs it. The deadline, and a cancel, drop the exchange and with it its connection,
+/// which closes.
 pub(super) struct AttemptRun {
     pub(super) attempt: Attempt,
     pub(super) pool: Pool,
-    pub(super) authority: Authority,
+    pub(super) host: HeaderValue,
     pub(super) backend_closed: Arc<AtomicBool>,
     pub(super) shared: Arc<UpstreamShared>,
 }
@@ -102,83 +101,77 @@
 
     /// Sends the request on one connection.
     async fn send_once(&self, ended: &mut AttemptOutcome) -> NextStep {
-        let mut request = build_request(&self.authority, &self.attempt);
-        let captured = capture_connection(&mut request);
+        let connection = match self.until_withdrawn(self.pool.acquire(), || true).await {
+            StepEnd::Finished(Ok(connection)) => connection,
+            StepEnd::Finished(Err(_)) => return NextStep::EndWith(self.outcome_of_failed_dial()),
+            StepEnd::DeadlinePassed => return NextStep::EndWith(Outcome::ConnectFailed),
+            StepEnd::Withdrawn(outcome) => return NextStep::EndWith(outcome),
+        };
+        self.send_on(connection, ended).await
+    }
+
+    async fn send_on(&self, connection: Connection, ended: &mut AttemptOutcome) -> NextStep {
+        let progress = connection.progress().clone();
         let body_length = self.attempt.forward.body.len();
-        let exchange = exchange(&self.pool, request, &captured, body_length, &self.shared, ended);
-        let end = self.until_withdrawn(exchange, &captured).await;
-        self.next_step(end, &captured)
+        let request = build_request(&self.host, &self.attempt);
+        let exchange = exchange(&self.pool, connection, request, body_length, &self.shared, ended);
+        let may_withdraw = || !progress.is_awaiting_answer(body_length);
+        match self.until_withdrawn(exchange, may_withdraw).await {
+            StepEnd::Finished(Outcome::ConnectFailed) => self.after_connect_failure(&progress),
+            StepEnd::Finished(outcome) | StepEnd::Withdrawn(outcome) => NextStep::EndWith(outcome),
+            StepEnd::DeadlinePassed => NextStep::EndWith(outcome_at_deadline(&progress, body_length)),
+        }
     }
 
-    /// Awaits `exchange` until the deadline, or until the attempt is withdrawn before it is written whole.
+    /// Awaits `step` until the deadline, or until the attempt is withdrawn while it may be. A step that has not ended by
+    /// then is dropped, and with it its connection, on which nothing more is written.
     ///
     /// Guards against beginning, or going on to write, what nobody waits for or what must not be repeated any more: a
     /// dial may be late by seconds. What was written whole runs, and its end is awaited.
-    async fn until_withdrawn(
+    async fn until_withdrawn<T>(
         &self,
-        exchange: impl Future<Output = Outcome>,
-        captured: &CaptureConnection,
-    ) -> ExchangeEnd {
-        let exchange = timeout_at(self.attempt.deadline, exchange);
-        tokio::pin!(exchange);
+        step: impl Future<Output = T>,
+        may_withdraw: impl Fn() -> bool,
+    ) -> StepEnd<T> {
+        let step = timeout_at(self.attempt.deadline, step);
+        tokio::pin!(step);
         let withdrawn = self.attempt.withdrawn();
         let finished = tokio::select! {
             biased;
-            finished = &mut exchange => finished,
-            outcome = withdrawn => match self.is_awaiting_answer(captured) {
-                true => exchange.await,
-                false => return ExchangeEnd::Withdrawn(outcome),
+            finished = &mut step => finished,
+            outcome = withdrawn => match may_withdraw() {
+                true => return StepEnd::Withdrawn(outcome),
+                false => step.await,
             },
         };
-        finished.map_or(ExchangeEnd::DeadlinePassed, ExchangeEnd::Finished)
-    }
-
-    fn is_awaiting_answer(&self, captured: &CaptureConnection) -> bool {
-        let body_length = self.attempt.forward.body.len();
-        captured_progress(captured).is_some_and(|p| p.is_awaiting_answer(body_length))
-    }
-
-    fn next_step(&self, end: ExchangeEnd, captured: &CaptureConnection) -> NextStep {
-        NextStep::EndWith(match end {
-            ExchangeEnd::Withdrawn(outcome) => {
-                abandon(captured);
-                outcome
-            }
-            ExchangeEnd::DeadlinePassed => self.outcome_at_deadline(captured),
-            ExchangeEnd::Finished(Outcome::ConnectFailed) => return self.after_connect_failure(captured),
-            ExchangeEnd::Finished(outcome) => outcome,
-        })
+        finished.map_or(StepEnd::DeadlinePassed, StepEnd::Finished)
     }
 
-    fn outcome_at_deadline(&self, captured: &CaptureConnection) -> Outcome {
-        let body_length = self.attempt.forward.body.len();
-        let progress = abandon(captured);
-        match progress.map_or(Outcome::ConnectFailed, |p| p.outcome_of_break(body_length)) {
-            // Guards repeats: with all of it written, it may have run or may yet.
-            Outcome::Reset => Outcome::TimedOut,
-            never_ran => never_ran,
+    fn outcome_of_failed_dial(&self) -> Outcome {
+        // Guards against blaming a backend for want of descriptors here.
+        if self.backend_closed.load(Relaxed) || self.shared.is_out_of_descriptors() {
+            return Outcome::NotSent;
         }
+        Outcome::ConnectFailed
     }
 
-    fn after_connect_failure(&self, captured: &CaptureConnection) -> NextStep {
-        let progress = captured_progress(captured);
+    fn after_connect_failure(&self, progress: &ExchangeProgress) -> NextStep {
         if self.backend_closed.load(Relaxed) {
             return NextStep::EndWith(Outcome::NotSent);
         }
         // Guards against blaming a backend for a connection that ended while it stood idle: nothing was written to it,
         // and there are others.
-        if progress.as_ref().is_some_and(|p| p.is_idle_after_use()) {
+        if progress.is_idle_after_use() {
             return NextStep::UseAnotherConnection;
         }
-        // Guards against blaming a backend for want of descriptors here.
-        if progress.is_none() && self.shared.is_out_of_descriptors() {
-            return NextStep::EndWith(Outcome::NotSent);
-        }
         NextStep::EndWith(Outcome::ConnectFailed)
     }
 }
 
-/// Gives an exchange up: the client library could yet write what it holds before it closes.
-fn abandon(captured: &CaptureConnection) -> Option<Arc<ExchangeProgress>> {
-    captured_progress(captured).inspect(|progress| progress.abandon())
+fn outcome_at_deadline(progress: &ExchangeProgress, body_length: usize) -> Outcome {
+    match progress.outcome_of_break(body_length) {
+        // Guards repeats: with all of it written, it may have run or may yet.
+        Outcome::Reset => Outcome::TimedOut,
+        never_ran => never_ran,
+    }
 }
--- a/src/net/upstream/counted_io.rs
+++ b/src/net/upstream/counted_io.rs
@@ -11,9 +11,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use axum::http::Extensions;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::client::legacy::connect::{CaptureConnection, Connected, Connection};
 use hyper_util::rt::TokioIo;
 use sedgestack::Outcome;
 use socket2::SockRef;
@@ -137,13 +135,6 @@
     (matched, rest)
 }
 
-/// The progress on the connection that a request was given, if it was given one.
-pub(super) fn captured_progress(captured: &CaptureConnection) -> Option<Arc<ExchangeProgress>> {
-    let mut extras = Extensions::new();
-    captured.connection_metadata().as_ref()?.get_extras(&mut extras);
-    extras.remove()
-}
-
 /// A connection to a backend that counts what is written, and refuses to write what must not be sent.
 pub(super) struct CountedIo {
     pub(super) inner: TokioIo<TcpStream>,
@@ -230,11 +221,5 @@
     }
 }
 
-impl Connection for CountedIo {
-    fn connected(&self) -> Connected {
-        Connected::new().extra(self.progress.clone())
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/upstream/health_check.rs
+++ b/src/net/upstream/health_check.rs
@@ -1,15 +1,14 @@
 //! Health checks of a backend.
 
-use axum::http::uri::{Authority, PathAndQuery};
-use axum::http::{Request, StatusCode};
-use http_body_util::Full;
+use axum::http::uri::PathAndQuery;
+use axum::http::{HeaderValue, StatusCode};
 use sedgestack::platform::NameIndex;
 use sedgestack::{LoadReport, Outcome};
 use tokio::time::{timeout_at, Instant};
 
-use super::dialer::Pool;
 use super::load_report::load_report;
-use super::request::backend_uri;
+use super::pool::Pool;
+use super::request::build_get;
 
 const HEALTH_PATH: PathAndQuery = PathAndQuery::from_static("/health");
 
@@ -19,22 +18,34 @@
     pub(super) report: LoadReport,
 }
 
-/// Asks the backend at `authority` for its health, until `deadline`.
+impl HealthCheckResult {
+    fn without_answer(outcome: Outcome) -> HealthCheckResult {
+        HealthCheckResult { outcome, report: LoadReport::default() }
+    }
+}
+
+/// Asks the backend that `host` names for its health, until `deadline`.
 pub(super) async fn check_health(
     pool: &Pool,
-    authority: &Authority,
+    host: &HeaderValue,
     names: &NameIndex,
     deadline: Instant,
 ) -> HealthCheckResult {
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = backend_uri(authority, HEALTH_PATH);
-    match timeout_at(deadline, pool.request(request)).await {
-        Ok(Ok(response)) => {
-            let is_healthy = response.status() == StatusCode::OK;
-            let outcome = if is_healthy { Outcome::Ok } else { Outcome::Error };
-            HealthCheckResult { outcome, report: load_report(response.headers(), names) }
-        }
-        Ok(Err(_)) => HealthCheckResult { outcome: Outcome::ConnectFailed, report: LoadReport::default() },
-        Err(_) => HealthCheckResult { outcome: Outcome::TimedOut, report: LoadReport::default() },
-    }
+    let ended = timeout_at(deadline, ask_health(pool, host, names)).await;
+    ended.unwrap_or_else(|_| HealthCheckResult::without_answer(Outcome::TimedOut))
+}
+
+async fn ask_health(pool: &Pool, host: &HeaderValue, names: &NameIndex) -> HealthCheckResult {
+    let Ok(mut connection) = pool.acquire().await else {
+        return HealthCheckResult::without_answer(Outcome::ConnectFailed);
+    };
+    let Ok(response) = connection.send(build_get(host, HEALTH_PATH)).await else {
+        return HealthCheckResult::without_answer(Outcome::ConnectFailed);
+    };
+    let outcome = if response.status() == StatusCode::OK { Outcome::Ok } else { Outcome::Error };
+    let report = load_report(response.headers(), names);
+    // The body says nothing more; the client library skips it, or closes the connection.
+    drop(response);
+    pool.release(connection);
+    HealthCheckResult { outcome, report }
 }
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -1,16 +1,18 @@
 //! The side towards backends: an actor for each backend, with its attempts, its pool of connections and its health
 //! checks.
 //!
-//! The way of an attempt through these modules: `actor` takes the command, `attempt` runs it, `request` builds what is
-//! written, `dialer` opens a connection where the pool has none, `counted_io` counts the bytes that its socket takes,
-//! `response` reads the answer.
+//! The way of an attempt through these modules: `actor` takes the command, `attempt` runs it: `pool` gives it a
+//! connection, which `dialer` opens where none is idle, `request` builds what is written, `connection` sends it,
+//! `counted_io` counts the bytes that its socket takes, `response` reads the answer.
 
 mod actor;
 mod attempt;
+mod connection;
 mod counted_io;
 mod dialer;
 mod health_check;
 mod load_report;
+mod pool;
 mod request;
 mod response;
 
--- a/src/net/upstream/request.rs
+++ b/src/net/upstream/request.rs
@@ -1,6 +1,8 @@
 //! The request that an attempt writes.
 
-use axum::http::uri::{Authority, PathAndQuery, Scheme};
+use std::net::SocketAddr;
+
+use axum::http::uri::{Authority, PathAndQuery};
 use axum::http::{header, HeaderName, HeaderValue, Method, Request, Uri};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,14 +13,18 @@
 const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const X_DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const DEFAULT_HTTP_PORT: u16 = 80;
 
-/// What `attempt` writes to the backend at `authority`: the client's request, with the time that is left until the
+/// What `attempt` writes to the backend that `host` names: the client's request, with the time that is left until the
 /// attempt's deadline.
-pub(super) fn build_request(authority: &Authority, attempt: &Attempt) -> Request<Full<Bytes>> {
+///
+/// The time is told as of this call, so that it is made once the connection is up: a dial may take longer than the
+/// slack that the backend is allowed to count on.
+pub(super) fn build_request(host: &HeaderValue, attempt: &Attempt) -> Request<Full<Bytes>> {
     let forward = &attempt.forward;
     let mut request = Request::new(Full::new(forward.body.clone()));
     *request.method_mut() = forward.method.clone();
-    *request.uri_mut() = backend_uri(authority, forward.path.clone());
+    *request.uri_mut() = Uri::from(forward.path.clone());
     let headers = request.headers_mut();
     headers.insert(X_REQUEST_ID, forward.id.value().clone());
     if let Some(key) = &forward.key {
@@ -29,14 +35,21 @@
     if forward.method != Method::GET {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
     }
+    headers.insert(header::HOST, host.clone());
+    request
+}
+
+/// A `GET` of `path` at the backend that `host` names.
+pub(super) fn build_get(host: &HeaderValue, path: PathAndQuery) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = Uri::from(path);
+    request.headers_mut().insert(header::HOST, host.clone());
     request
 }
 
-/// The address of `path` at a backend.
-pub(super) fn backend_uri(authority: &Authority, path: PathAndQuery) -> Uri {
-    let mut parts = axum::http::uri::Parts::default();
-    parts.scheme = Some(Scheme::HTTP);
-    parts.authority = Some(authority.clone());
-    parts.path_and_query = Some(path);
-    Uri::from_parts(parts).expect("scheme, authority and path make an address")
+/// The `Host` header of requests to `addr`.
+pub(super) fn host_header(addr: SocketAddr) -> HeaderValue {
+    let authority: Authority = addr.to_string().try_into().expect("an address is an authority");
+    let host = if addr.port() == DEFAULT_HTTP_PORT { authority.host() } else { authority.as_str() };
+    HeaderValue::from_str(host).expect("an authority is a header's value")
 }
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -4,12 +4,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper_util::client::legacy::connect::CaptureConnection;
 use sedgestack::Outcome;
 
-use super::counted_io::captured_progress;
-use super::dialer::Pool;
+use super::connection::Connection;
 use super::load_report::load_report;
+use super::pool::Pool;
 use super::{UpstreamShared, MAX_BODY_BYTES};
 use crate::net::control::message::AttemptOutcome;
 
@@ -17,36 +16,37 @@
 const X_METER: HeaderName = HeaderName::from_static("x-meter");
 const X_SETTLED: HeaderName = HeaderName::from_static("x-settled");
 
-/// Sends `request`, whose body has `body_length` bytes, and reads the answer to its last byte into `ended`. `captured`
-/// is the request's connection.
+/// Sends `request`, whose body has `body_length` bytes, and reads the answer to its last byte into `ended`. A connection
+/// that can carry a further request goes back to `pool`.
 pub(super) async fn exchange(
     pool: &Pool,
+    mut connection: Connection,
     request: Request<Full<Bytes>>,
-    captured: &CaptureConnection,
     body_length: usize,
     shared: &UpstreamShared,
     ended: &mut AttemptOutcome,
 ) -> Outcome {
-    let response = pool.request(request).await;
-    let progress = captured_progress(captured);
+    let response = connection.send(request).await;
+    let progress = connection.progress();
     // Written whole: the last byte was taken before the answer's head was read, or the exchange broke.
-    if progress.as_ref().is_some_and(|p| p.is_awaiting_answer(body_length)) {
+    if progress.is_awaiting_answer(body_length) {
         shared.figures.attempt_written();
     }
     let Ok(response) = response else {
         // Guards repeats: "could not connect" only where the socket did not take the last byte.
-        return progress.map_or(Outcome::ConnectFailed, |p| p.outcome_of_break(body_length));
+        return progress.outcome_of_break(body_length);
     };
-    if let Some(progress) = progress {
-        progress.record_answered(body_length);
-    }
+    progress.record_answered(body_length);
     let (head, body) = response.into_parts();
     if has_two_framings(&head.headers) {
-        captured.connection_metadata().as_ref().inspect(|c| c.poison());
         return Outcome::Reset;
     }
     record_headers(&head.headers, shared, ended);
-    read_body(&head, body, ended).await
+    let outcome = read_body(&head, body, ended).await;
+    if outcome != Outcome::Reset {
+        pool.release(connection);
+    }
+    outcome
 }
 
 /// Guards answers: which of two framings was meant nobody can tell, nor where the next answer begins.
--- a/tests/common/script.rs
+++ b/tests/common/script.rs
@@ -17,6 +17,15 @@
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         let loopback: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         socket.bind(&loopback.into()).expect("loopback has a port");
+        Unopened::fill(socket)
+    }
+
+    /// From now on no further connection to the listener comes up.
+    pub fn shut(listener: TcpListener) -> Unopened {
+        Unopened::fill(Socket::from(listener))
+    }
+
+    fn fill(socket: Socket) -> Unopened {
         socket.listen(0).expect("it listens");
         let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("it is bound");
         // Connections come up until the queue is full; the first that does not shows that it is.
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -7,6 +7,7 @@
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod filter;
 mod harness;
+mod pool;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod registers;
 #[path = "../common/script.rs"]
