Count a request whose answer has begun as one that may have run

Cause: the upstream side counted requests begun and answered by connection, and counted a request as answered from its answer's head on. A connection whose answer hung looked as if it were between requests: its attempt ended as ConnectFailed at the deadline, as NotSent at the end of the window, as Canceled as the client left.

The progress is now one typed state of one request, and may_have_run, the only way from it to an outcome, is true from the last byte written and from the answer's first head on. It holds because a connection is told of each request before the client library gets it, within a request the state only moves forward, and a dropped connection writes nothing more.

--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::connection::Connection;
-use super::counted_io::ExchangeProgress;
+use super::exchange_progress::ExchangeProgress;
 use super::pool::Pool;
 use super::request::build_request;
 use super::response::exchange;
@@ -112,14 +112,14 @@
 
     async fn send_on(&self, connection: Connection, ended: &mut AttemptOutcome) -> NextStep {
         let progress = connection.progress().clone();
-        let body_length = self.attempt.forward.body.len();
         let request = build_request(&self.host, &self.attempt);
-        let exchange = exchange(&self.pool, connection, request, body_length, &self.shared, ended);
-        let may_withdraw = || !progress.is_awaiting_answer(body_length);
+        let exchange = exchange(&self.pool, connection, request, &self.shared, ended);
+        // Guards repeats: an attempt that is withdrawn counts as one that never ran, also where its answer hangs.
+        let may_withdraw = || !progress.state().may_have_run();
         match self.until_withdrawn(exchange, may_withdraw).await {
             StepEnd::Finished(Outcome::ConnectFailed) => self.after_connect_failure(&progress),
             StepEnd::Finished(outcome) | StepEnd::Withdrawn(outcome) => NextStep::EndWith(outcome),
-            StepEnd::DeadlinePassed => NextStep::EndWith(outcome_at_deadline(&progress, body_length)),
+            StepEnd::DeadlinePassed => NextStep::EndWith(progress.outcome_at_deadline()),
         }
     }
 
@@ -161,17 +161,9 @@
         }
         // Guards against blaming a backend for a connection that ended while it stood idle: nothing was written to it,
         // and there are others.
-        if progress.is_idle_after_use() {
+        if progress.is_unwritten_on_reused_connection() {
             return NextStep::UseAnotherConnection;
         }
         NextStep::EndWith(Outcome::ConnectFailed)
     }
 }
-
-fn outcome_at_deadline(progress: &ExchangeProgress, body_length: usize) -> Outcome {
-    match progress.outcome_of_break(body_length) {
-        // Guards repeats: with all of it written, it may have run or may yet.
-        Outcome::Reset => Outcome::TimedOut,
-        never_ran => never_ran,
-    }
-}
--- a/src/net/upstream/connection.rs
+++ b/src/net/upstream/connection.rs
@@ -5,10 +5,11 @@
 use axum::http::{Request, Response};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 
-use super::counted_io::{CountedIo, ExchangeProgress};
+use super::counted_io::CountedIo;
+use super::exchange_progress::ExchangeProgress;
 
 /// A head longer than this is no answer's.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
@@ -52,7 +53,13 @@
 
     /// Sends a request, and returns once the answer's head is read.
     pub(super) async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
-        self.requests.send_request(request).await
+        let body_length = request.body().size_hint().exact().expect("the body is held whole");
+        self.progress.begin_request(body_length);
+        let response = self.requests.send_request(request).await;
+        if response.is_ok() {
+            self.progress.record_answer_begun();
+        }
+        response
     }
 }
 
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -3,13 +3,14 @@
 //!
 //! The way of an attempt through these modules: `actor` takes the command, `attempt` runs it: `pool` gives it a
 //! connection, which `dialer` opens where none is idle, `request` builds what is written, `connection` sends it,
-//! `counted_io` counts the bytes that its socket takes, `response` reads the answer.
+//! `counted_io` tells `exchange_progress` of the bytes that its socket takes, `response` reads the answer.
 
 mod actor;
 mod attempt;
 mod connection;
 mod counted_io;
 mod dialer;
+mod exchange_progress;
 mod health_check;
 mod load_report;
 mod pool;
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -55,11 +55,11 @@
     }
 
     fn keep_once_dialled(&self, dial: impl Future<Output = io::Result<Connection>> + Send + 'static) {
-        let pool = self.clone();
+        let idle = self.idle.clone();
         tokio::spawn(async move {
             // The dialer counts and logs failures.
             if let Ok(connection) = dial.await {
-                pool.release(connection);
+                idle.add(connection);
             }
         });
     }
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -16,27 +16,24 @@
 const X_METER: HeaderName = HeaderName::from_static("x-meter");
 const X_SETTLED: HeaderName = HeaderName::from_static("x-settled");
 
-/// Sends `request`, whose body has `body_length` bytes, and reads the answer to its last byte into `ended`. A connection
-/// that can carry a further request goes back to `pool`.
+/// Sends `request` and reads the answer to its last byte into `ended`. A connection that can carry a further request
+/// goes back to `pool`.
 pub(super) async fn exchange(
     pool: &Pool,
     mut connection: Connection,
     request: Request<Full<Bytes>>,
-    body_length: usize,
     shared: &UpstreamShared,
     ended: &mut AttemptOutcome,
 ) -> Outcome {
     let response = connection.send(request).await;
     let progress = connection.progress();
     // Written whole: the last byte was taken before the answer's head was read, or the exchange broke.
-    if progress.is_awaiting_answer(body_length) {
+    if progress.is_written_whole() {
         shared.figures.attempt_written();
     }
     let Ok(response) = response else {
-        // Guards repeats: "could not connect" only where the socket did not take the last byte.
-        return progress.outcome_of_break(body_length);
+        return progress.outcome_of_break();
     };
-    progress.record_answered(body_length);
     let (head, body) = response.into_parts();
     if has_two_framings(&head.headers) {
         return Outcome::Reset;
@@ -44,6 +41,7 @@
     record_headers(&head.headers, shared, ended);
     let outcome = read_body(&head, body, ended).await;
     if outcome != Outcome::Reset {
+        connection.progress().record_answered();
         pool.release(connection);
     }
     outcome
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -30,6 +30,8 @@
     Close,
     Half,
     Silent,
+    /// The head of an answer and part of its body, and nothing more.
+    Stalled,
     Cancel,
     /// Good answers, with more than belongs to them.
     Early,
@@ -46,9 +48,9 @@
 }
 use Conduct::*;
 
-const ALL: [Conduct; 18] = [
-    Serve, Reject, PlainBusy, Error, Close, Half, Silent, Cancel, Early, Odd, Behind, Twice, Noise, Endless,
-    Huge, Lengths, Framings, Negative,
+const ALL: [Conduct; 19] = [
+    Serve, Reject, PlainBusy, Error, Close, Half, Silent, Stalled, Cancel, Early, Odd, Behind, Twice, Noise,
+    Endless, Huge, Lengths, Framings, Negative,
 ];
 
 impl Conduct {
@@ -58,7 +60,7 @@
             Reject => b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
             PlainBusy => b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
             Error => b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
-            Half => b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
+            Half | Stalled => b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha",
             Close | Silent | Cancel => b"",
             Early => {
                 b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n\
@@ -95,7 +97,7 @@
             Behind | Twice => (Outcome::Ok, false),
             Noise | Endless | Huge | Lengths | Framings | Negative => (Outcome::Reset, false),
             Close | Half => (Outcome::Reset, false),
-            Silent => (Outcome::TimedOut, false),
+            Silent | Stalled => (Outcome::TimedOut, false),
             Cancel => (Outcome::Canceled, false),
         }
     }
@@ -200,10 +202,11 @@
     for (number, conduct) in conducts.into_iter().enumerate() {
         let number = number as u32;
         // A deadline can be told from a dial that failed only where no dial is needed.
-        if conduct == Silent && !is_connected {
+        let times_out = matches!(conduct, Silent | Stalled);
+        if times_out && !is_connected {
             continue;
         }
-        let timeout = if conduct == Silent { Duration::from_millis(5) } else { LONG };
+        let timeout = if times_out { Duration::from_millis(5) } else { LONG };
         assert!(handle.send(BackendCommand::Attempt(attempt(conduct, number, timeout))));
         if !is_connected {
             assert_eq!(events.recv().await, Some("accepted"), "{conduct:?}");
--- a/src/net/upstream/tests/answer_begun.rs
+++ b/src/net/upstream/tests/answer_begun.rs
@@ -1,7 +1,10 @@
 //! A backend sends the head of an answer and part of its body, and hangs.
 //!
-//! Symptom: the attempt ended as one that can't have run. Its request was then sent again, or answered by a rejection
-//! that promises that coming again is harmless, so that it ran twice.
+//! The attempt ended as one that can't have run. Its request was sent again after the idempotency window of its first
+//! run, or its client was told that coming again is harmless; it ran twice. The cause: requests begun and answered were
+//! counted by connection, and a request counted as answered from the head on, so that the connection looked as if it
+//! were between two requests. What showed it: of 102 attempts for 101 requests one ended as `attempts_connect_failed=1`,
+//! although its backend had taken it whole.
 
 use super::*;
 use tokio::net::TcpStream;
--- a/tests/limiter/answer_begun.rs
+++ b/tests/limiter/answer_begun.rs
@@ -1,7 +1,9 @@
 //! A backend sends the head of an answer and part of its body, and hangs until the attempt is given up.
 //!
-//! What happened: the attempt ended as one that could not connect, and so can't have run; its request was sent to the
-//! next backend after the idempotency window of the first, and ran twice.
+//! The attempt ended as one that could not connect, and so can't have run; its request was sent to the next backend after
+//! the idempotency window of its first run, and ran twice (attempts=102 for taken=101, attempts_connect_failed=1). The
+//! cause was in how the upstream side recorded the progress of an exchange: see
+//! docs/incidents/2026-12-03-hung-answer-counts-as-never-run.md.
 
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
