Read a capture block as damaged unless it has one version for each record

Readers of captures got a block that lacked the version of exactly one record as whole, that record as taken without one.

Cause: records were paired with versions before their numbers were compared, and the pairing takes a record before it finds that the versions have ended. Both are counted first now, so that nothing is taken before the answer is known. A property test found the twins: versions in excess and bytes behind them were passed over; both are damage too.

--- a/crates/capture/src/error.rs
+++ b/crates/capture/src/error.rs
@@ -87,6 +87,9 @@
     /// The versions of the runtime configuration behind a block cover only some of its records.
     #[error("a block has fewer versions of the rules than records")]
     MissingVersions,
+    /// The versions of the runtime configuration behind a block are more than its records.
+    #[error("a block has more versions of the rules than records")]
+    ExtraVersions,
     /// The number of time steps in a block is not the number of its records.
     #[error("a block has not as many times as records")]
     TimeCountMismatch,
--- a/crates/capture/src/error/tests.rs
+++ b/crates/capture/src/error/tests.rs
@@ -30,6 +30,7 @@
         (BlockError::Undecompressable("bad frame".into()), "bad frame".to_string()),
         (BlockError::Undecodable(undecodable.clone()), undecodable.to_string()),
         (BlockError::MissingVersions, "a block has fewer versions of the rules than records".to_string()),
+        (BlockError::ExtraVersions, "a block has more versions of the rules than records".to_string()),
         (BlockError::TimeCountMismatch, "a block has not as many times as records".to_string()),
         (
             BlockError::UnknownName,
--- a/crates/capture/src/reader.rs
+++ b/crates/capture/src/reader.rs
@@ -1,5 +1,6 @@
 //! Reading of captures, up to any damage.
 
+use std::cmp::Ordering;
 use std::io::Read;
 use std::path::Path;
 
@@ -141,7 +142,11 @@
         .map_err(|e| BlockError::Undecompressable(e.to_string()))?;
     let (mut block, rest): (Block, &[u8]) = postcard::take_from_bytes(&encoded)?;
     if !rest.is_empty() {
-        set_versions(&mut block.records, postcard::from_bytes(rest)?)?;
+        let (runs, rest): (VersionRuns, &[u8]) = postcard::take_from_bytes(rest)?;
+        if !rest.is_empty() {
+            return Err(postcard::Error::DeserializeBadEncoding.into());
+        }
+        set_versions(&mut block.records, &runs)?;
     }
     if block.steps.len() != block.records.len() {
         return Err(BlockError::TimeCountMismatch);
@@ -149,15 +154,19 @@
     Ok(block)
 }
 
-fn set_versions(records: &mut [Record], runs: VersionRuns) -> Result<(), BlockError> {
-    let versions = runs.into_iter().flat_map(|run| std::iter::repeat_n(run.version, run.count as usize));
-    let mut records = records.iter_mut();
-    for (record, version) in records.by_ref().zip(versions) {
+/// Gives each record its version. Versions and records are counted before they are paired: a pairing ends with the
+/// shorter of the two, and what it took of the longer can't be told afterwards.
+fn set_versions(records: &mut [Record], runs: &VersionRuns) -> Result<(), BlockError> {
+    let version_count: u64 = runs.iter().map(|run| u64::from(run.count)).sum();
+    match version_count.cmp(&(records.len() as u64)) {
+        Ordering::Less => return Err(BlockError::MissingVersions),
+        Ordering::Greater => return Err(BlockError::ExtraVersions),
+        Ordering::Equal => {}
+    }
+    let versions = runs.iter().flat_map(|run| std::iter::repeat_n(run.version, run.count as usize));
+    for (record, version) in records.iter_mut().zip(versions) {
         record.rules = version;
     }
-    if records.next().is_some() {
-        return Err(BlockError::MissingVersions);
-    }
     Ok(())
 }
 
@@ -187,3 +196,6 @@
         && record.destination.is_none_or(|destination| usize::from(destination) < destinations)
         && usize::from(record.source) < sources
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/rehearsal/main.rs
+++ b/tests/rehearsal/main.rs
@@ -48,6 +48,7 @@
 
     let capture = |n: u32| read_file(&folder.join(format!("n{n}.sedgecap"))).expect("a capture");
     let captures: Vec<_> = (0..3).map(capture).collect();
+    assert_eq!(captures.len(), held.daemons.len());
     for (capture, daemon) in captures.iter().zip(&held.daemons) {
         assert_eq!(capture.damage, None);
         assert_eq!(capture.records.len() as u64 + capture.dropped, daemon.taken, "{}", daemon.name);
