Keep a late call to discovery pending while further ones are made

Cause, by a trace of lists and first writes: a call without an answer was given up after 1 s. Its answer came at its turn, to nobody, and the call made in its place stood at the end of the queue.

The mend holds because no place in the queue is given away any more, and when calls are made did not change.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod endpoints;
 mod list_decoder;
+mod pending_calls;
 mod watch;
 
 pub use watch::{connector, run};
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -1,5 +1,7 @@
 //! Lists cut from what a watch brings, and when changes are told: in virtual time, on connections without sockets.
 
+mod late_calls;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -4,6 +4,9 @@
 //! call is made at 3.05 s, and two calls that hang after it leave time for a third at 5.35 s: under the 6 s at which
 //! what was missed counts as told. A call that hangs from before discovery's return ends 1 s after it, and the next
 //! is made 0.5 s later at the latest. After a SIGHUP the first call is made at once: two that hang leave 1.85 s of 4 s.
+//!
+//! A call that is late is not given up as the next one is made: where discovery is asked, calls wait there in turn, and
+//! the first that is answered is the watch.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -22,18 +25,19 @@
 use thiserror::Error;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 use crate::net::config::addresses::Addresses;
 use crate::net::discovery::endpoints::EndpointsChange;
 use crate::net::discovery::list_decoder::{ListDecoder, ListError};
+use crate::net::discovery::pending_calls::PendingCalls;
 use crate::net::runtime::metrics::COUNTERS;
 use crate::say;
 
 /// A watch that says nothing for this long is dead: its empty lines come every 2 s.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
-/// A call that has no head of an answer by then has failed: discovery's agent answers at once.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// A call that has no head of an answer by then is late, and another one is made after the backoff.
+const CALL_LATE_AFTER: Duration = Duration::from_secs(1);
 /// The backoff between calls, doubled from the first to the last while watches fail or end as soon as they stand.
 pub(super) const MIN_BACKOFF: Duration = Duration::from_millis(50);
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -47,6 +51,8 @@
     Address(#[from] InvalidUri),
     #[error("silent")]
     Silent,
+    #[error("no answer yet")]
+    Late,
     #[error("{0:?}")]
     Call(#[from] hyper_util::client::legacy::Error),
     #[error("status {0}")]
@@ -96,7 +102,8 @@
             .retry_canceled_requests(false)
             .build(connector);
         let version = Arc::new(AtomicU64::new(version));
-        let task = WatchTask { client, discovery, version: version.clone(), former, module };
+        let calls = PendingCalls::new();
+        let task = WatchTask { client, calls, discovery, version: version.clone(), former, module };
         Watch { task: tokio::spawn(task.run()).abort_handle(), version }
     }
 }
@@ -136,6 +143,7 @@
 /// What the task of a watch owns.
 struct WatchTask<C> {
     client: Client<C, Empty<Bytes>>,
+    calls: PendingCalls<CallResult>,
     discovery: SocketAddr,
     /// The version that was told last.
     version: Arc<AtomicU64>,
@@ -147,22 +155,26 @@
     /// Opens the watch anew, with backoff, for as long as the module listens.
     async fn run(mut self) {
         let mut backoff = MIN_BACKOFF;
+        let mut late_answer = None;
         while !self.module.is_closed() {
-            COUNTERS.list_watches.increment();
             let (version, begun) = (self.version.load(Relaxed), Instant::now());
-            let Err(error) = self.watch_once().await;
+            let Err(error) = self.watch_once(late_answer.take()).await;
             say!("list: watch from version {version} ended: {error}");
             if begun.elapsed() >= IN_ORDER_AFTER {
                 backoff = MIN_BACKOFF;
             }
-            sleep_until(Instant::now() + backoff).await;
+            late_answer = self.late_answer(Instant::now() + backoff).await;
             backoff = (backoff * 2).min(MAX_BACKOFF);
         }
     }
 
-    /// Opens the watch and tells its changes until it ends.
-    async fn watch_once(&mut self) -> Result<Infallible, WatchError> {
-        let mut body = self.open().await?;
+    /// Opens the watch, where no call was answered yet, and tells its changes until it ends.
+    async fn watch_once(&mut self, answer: Option<Incoming>) -> Result<Infallible, WatchError> {
+        let mut body = match answer {
+            Some(body) => body,
+            None => self.open().await?,
+        };
+        self.calls.clear();
         self.former.take_if(|former| !former.is_of_other_discovery);
         let mut decoder = ListDecoder::default();
         let mut heard_by = Instant::now() + SILENCE_TIMEOUT;
@@ -180,18 +192,28 @@
         }
     }
 
-    /// Asks for what comes after the version that was told last.
-    async fn open(&self) -> Result<Incoming, WatchError> {
-        let version = self.version.load(Relaxed);
-        let uri = format!("http://{}/v1/endpoints?stream=1&index={version}", self.discovery);
-        let uri = uri.parse::<Uri>()?;
-        let response = timeout_at(Instant::now() + CALL_TIMEOUT, self.client.get(uri))
-            .await
-            .map_err(|_| WatchError::Silent)??;
-        match response.status() {
-            StatusCode::OK => Ok(response.into_body()),
-            status => Err(WatchError::Status(status)),
+    /// Makes a call, and awaits its answer or that of an earlier one; the call stays pending where it is late.
+    async fn open(&mut self) -> Result<Incoming, WatchError> {
+        COUNTERS.list_watches.increment();
+        self.calls.push(call(self.client.clone(), self.discovery, self.version.load(Relaxed)));
+        let late_at = Instant::now() + CALL_LATE_AFTER;
+        loop {
+            let ended = timeout_at(late_at, self.calls.next()).await.map_err(|_| WatchError::Late)?;
+            // That an earlier call failed says nothing of the newest one.
+            if ended.result.is_ok() || ended.is_newest {
+                return ended.result;
+            }
+        }
+    }
+
+    /// Waits until `backoff_end`, or until a late call is answered.
+    async fn late_answer(&mut self, backoff_end: Instant) -> Option<Incoming> {
+        while let Ok(ended) = timeout_at(backoff_end, self.calls.next()).await {
+            if let Ok(body) = ended.result {
+                return Some(body);
+            }
         }
+        None
     }
 
     async fn send_changes(&mut self, changes: Vec<EndpointsChange>) -> Result<(), WatchError> {
@@ -204,3 +226,19 @@
         Ok(())
     }
 }
+
+type CallResult = Result<Incoming, WatchError>;
+
+/// Asks discovery for what comes after `version`.
+async fn call<C: Connect + Clone + Send + Sync + 'static>(
+    client: Client<C, Empty<Bytes>>,
+    discovery: SocketAddr,
+    version: u64,
+) -> CallResult {
+    let uri = format!("http://{discovery}/v1/endpoints?stream=1&index={version}").parse::<Uri>()?;
+    let response = client.get(uri).await?;
+    match response.status() {
+        StatusCode::OK => Ok(response.into_body()),
+        status => Err(WatchError::Status(status)),
+    }
+}
