Add a soak that looks for broken rules in short lives of real limiters

The soak draws a deployment, faults and a series of signals from a seed, plays them against one to three real limiters, and checks by what the stand-ins saw: lost and doubled requests, false rejections, clients that have gone, drains, the time told, descriptors and memory. Where the machine is too busy, only what rests on no time is judged.

--- a/crates/rehearse/src/daemons.rs
+++ b/crates/rehearse/src/daemons.rs
@@ -180,7 +180,7 @@
         };
         if let Some(address) = address {
             while Instant::now() < deadline {
-                if asks_ready(address).await.unwrap_or(false) {
+                if is_ready(address).await {
                     self.started = self.child.id().and_then(cpu).unwrap_or(0.0);
                     return Ok(address);
                 }
@@ -210,7 +210,12 @@
     }
 }
 
-async fn asks_ready(address: SocketAddr) -> std::io::Result<bool> {
+/// Whether the limiter at `address` says that it is ready.
+pub async fn is_ready(address: SocketAddr) -> bool {
+    ask_ready(address).await.unwrap_or(false)
+}
+
+async fn ask_ready(address: SocketAddr) -> std::io::Result<bool> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(b"GET /ready HTTP/1.1\r\nHost: limiter\r\nConnection: close\r\n\r\n").await?;
     let mut answer = String::new();
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -14,6 +14,7 @@
 mod load_player;
 mod request_log;
 pub mod scenarios;
+pub mod soak;
 mod sync;
 pub mod tier;
 
--- a/tests/rehearsal/main.rs
+++ b/tests/rehearsal/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here rests on how fast the machine is: what is checked holds for any timing.
 
+mod soak;
+
 use std::path::PathBuf;
 
 use sedgestack_capture::{merge, read_file, Outcome};
