Count attempts that time out at a silent backend as written

Operators read too few upstream_requests in /admin/stats: an attempt was counted as its answer's head was read or its connection broke, and one that timed out ended in neither way. It is counted at its deadline now, where no answer has begun.

--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::connection::Connection;
-use super::exchange_progress::ExchangeProgress;
+use super::exchange_progress::{ExchangeProgress, ExchangeState};
 use super::pool::Pool;
 use super::request::build_request;
 use super::response::exchange;
@@ -119,7 +119,13 @@
         match self.until_withdrawn(exchange, may_withdraw).await {
             StepEnd::Finished(Outcome::ConnectFailed) => self.after_connect_failure(&progress),
             StepEnd::Finished(outcome) | StepEnd::Withdrawn(outcome) => NextStep::EndWith(outcome),
-            StepEnd::DeadlinePassed => NextStep::EndWith(progress.outcome_at_deadline()),
+            StepEnd::DeadlinePassed => {
+                // An answer that has begun was counted with its head.
+                if progress.state() == ExchangeState::WrittenWhole {
+                    self.shared.figures.attempt_written();
+                }
+                NextStep::EndWith(progress.outcome_at_deadline())
+            }
         }
     }
 
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -343,3 +343,27 @@
     handle.send(BackendCommand::Attempt(attempt(Serve, 1, LONG)));
     assert_eq!(ended_attempt(&mut mailbox).await.outcome, Outcome::ConnectFailed, "nobody listens");
 }
+
+/// Operators read the count of attempts that were written whole. Those that timed out were missing in it: they were counted
+/// as the head of their answer was read, or as their connection broke, and neither happens where a backend is silent.
+#[tokio::test]
+async fn an_attempt_that_times_out_counts_as_written_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (shared, mut mailbox) = upstream_shared();
+    let handle = BackendHandle::start("s-1".into(), listener.local_addr().unwrap(), shared.clone());
+    let written = || shared.figures.json()["upstream_requests"].as_u64().unwrap();
+    let mut timeout = Duration::from_millis(50);
+    loop {
+        let before = written();
+        handle.send(BackendCommand::Attempt(attempt(Silent, 0, timeout)));
+        let (_stream, _) = listener.accept().await.unwrap();
+        let ended = ended_attempt(&mut mailbox).await;
+        if ended.outcome == Outcome::TimedOut {
+            assert_eq!(written() - before, 1);
+            return;
+        }
+        // The machine was too slow to write it in time.
+        assert_eq!((ended.outcome, written() - before), (Outcome::ConnectFailed, 0));
+        timeout *= 2;
+    }
+}
