--- a/crates/rehearse/src/soak/client.rs
+++ b/crates/rehearse/src/soak/client.rs
@@ -19,6 +19,9 @@
 const GRACE: Duration = Duration::from_millis(500);
 /// How often a client leaves before its answer.
 const LEAVING_SHARE: f64 = 0.08;
+/// How often a client pauses amid a request, and for how long at most, milliseconds; a limiter waits for 2 s.
+const SLOW_SHARE: f64 = 0.08;
+const MAX_SLOW_MS: u64 = 1_500;
 /// The longest pause between two requests of a client, milliseconds.
 const MAX_PAUSE_MS: u64 = 80;
 /// The latest that a client leaves, milliseconds.
@@ -80,18 +83,17 @@
         let class = self.draws.random_range(0..self.deployment.classes.len());
         let id = new_id();
         let text = self.request(class, &id);
-        let record = RequestRecord {
+        if self.write(stream, &text).await.is_err() {
+            return Connection::Ended;
+        }
+        let place = self.records.add_request(RequestRecord {
             id,
             class,
             limiter: self.limiter,
             sent_at: self.records.now(),
             on_reused_connection: is_reused,
             end: None,
-        };
-        if stream.write_all(text.as_bytes()).await.is_err() {
-            return Connection::Ended;
-        }
-        let place = self.records.add_request(record);
+        });
         let stays = self.draws.random_bool(1.0 - LEAVING_SHARE);
         let wait = if stays {
             self.deployment.classes[class].deadline + GRACE
@@ -112,6 +114,16 @@
         }
     }
 
+    async fn write(&mut self, stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+        let is_slow = self.draws.random_bool(SLOW_SHARE);
+        let (first, rest) = text.split_at(if is_slow { text.len() / 2 } else { 0 });
+        if is_slow {
+            stream.write_all(first.as_bytes()).await?;
+            sleep(Duration::from_millis(self.draws.random_range(0..=MAX_SLOW_MS))).await;
+        }
+        stream.write_all(rest.as_bytes()).await
+    }
+
     fn request(&self, class: usize, id: &str) -> String {
         let class = &self.deployment.classes[class];
         let (method, key, body) = match class.effect {
--- a/crates/rehearse/src/soak/deployment.rs
+++ b/crates/rehearse/src/soak/deployment.rs
@@ -12,8 +12,8 @@
 const SOCKETS: u32 = 256;
 /// Memory that the platform allows a limiter, MB.
 const MEMORY_MB: u32 = 32;
-/// The longest that a class waits here, milliseconds.
-const DEADLINES_MS: [u64; 3] = [700, 1_200, 2_500];
+/// How long clients of a class wait, milliseconds: under and over the 3 s by which the kill is reckoned.
+const DEADLINES_MS: [u64; 4] = [700, 1_200, 2_500, 4_000];
 /// Times for a connection to come up, milliseconds: under and over the second after which the machine tries again.
 const CONNECT_TIMEOUTS_MS: [u64; 2] = [250, 1_500];
 /// Windows for repeats, milliseconds.
--- a/crates/rehearse/src/soak/records.rs
+++ b/crates/rehearse/src/soak/records.rs
@@ -31,7 +31,7 @@
     pub class: usize,
     /// The limiter that it was sent to.
     pub limiter: usize,
-    /// When its first byte was written.
+    /// When its last byte was written.
     pub sent_at: Duration,
     /// Whether its connection carried a request before.
     pub on_reused_connection: bool,
