See a client's end behind more bytes than are read ahead

Clients that wrote more than 16 KiB behind a request and left were not seen to go: the request held its place and was sent on.

Cause: the end was looked for by reading alone, and reading ahead stops at 16 KiB. From there on the runtime is asked every 20 ms whether it has seen the end, which the machine reports beside unread bytes; memory stays bounded. The test failed before ("it was not seen to go", abandoned 0 for 1).

--- a/src/net/listener/downstream_io.rs
+++ b/src/net/listener/downstream_io.rs
@@ -1,18 +1,22 @@
 //! A client's connection as bytes.
 
-use std::future::{pending, poll_fn};
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::connection_table::Stage;
@@ -21,6 +25,8 @@
 
 /// Bytes read ahead at most behind a request that is in flight.
 const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
+/// The client's end is looked for this often behind more bytes than are read ahead. The platform allows 100 ms.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A client's connection. While a request of its is in flight, what comes behind the request is read ahead here: the
 /// client's end would stay unseen behind bytes that nobody reads.
@@ -46,7 +52,8 @@
     }
 
     /// Waits until the client closes or resets the connection, and reads ahead meanwhile. Nobody else may await bytes.
-    /// Guards memory: behind more than `MAX_READ_AHEAD_BYTES` an end is not looked for.
+    /// Guards memory: behind more than `MAX_READ_AHEAD_BYTES` nothing is read, and the runtime is asked whether it has seen
+    /// the end.
     pub(super) async fn closed(&self) {
         while self.read_ahead().len() < MAX_READ_AHEAD_BYTES {
             let mut bytes = [MaybeUninit::uninit(); 1024];
@@ -57,7 +64,17 @@
             }
             self.read_ahead().extend_from_slice(buffer.filled());
         }
-        pending::<()>().await;
+        while !self.is_read_closed() {
+            sleep(END_CHECK_INTERVAL).await;
+        }
+        self.gone.cancel();
+    }
+
+    /// Whether the client's end was seen, before or behind bytes that are not read yet.
+    fn is_read_closed(&self) -> bool {
+        let stream = self.stream();
+        let readiness = stream.inner().ready(Interest::READABLE).now_or_never();
+        readiness.is_some_and(|readiness| readiness.map_or(true, Ready::is_read_closed))
     }
 
     /// Waits until [`Downstream::closed`] has seen the client's end.
--- a/tests/limiter/client_leaves.rs
+++ b/tests/limiter/client_leaves.rs
@@ -108,3 +108,25 @@
         assert_eq!(limiter.count("attempts"), 2, "one for each request");
     }
 }
+
+/// More bytes than are read ahead stand between the request and its client's end. The end was not looked for there, and the
+/// request was sent on (abandoned=0): 48 KiB were written behind it, and 16 KiB are read ahead.
+#[test]
+fn a_client_that_left_behind_more_than_is_read_ahead_is_seen_to_go() {
+    const READ_AHEAD: usize = 16 << 10;
+    for go in WAYS {
+        let destination = Destination::answering("a report");
+        let (config, push) = patient(vec![]);
+        let mut limiter = Limiter::start(&config);
+        let mut client = limiter.connect();
+        client.write(&(read("large", 1) + &"x".repeat(3 * READ_AHEAD)));
+        limiter.until(|count| count("taken") == 1);
+        go(client);
+        limiter.until(|count| count("abandoned") + count("rejections") + count("failed") == 1);
+        assert_eq!(limiter.count("abandoned"), 1, "it was not seen to go");
+        push.send(json!({"version": 2, "full": false, "servers": [destination.entry("s-1", "Ready")]}))
+            .unwrap();
+        limiter.until(|count| count("list_changes") == 1);
+        only_the_next_comes(&limiter, &destination);
+    }
+}
