--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -1,6 +1,7 @@
 //! The built program on loopback sockets, among scripted peers.
 
 mod answer_begun;
+mod bad_input;
 mod client_leaves;
 mod cold;
 mod discovery;
@@ -14,6 +15,7 @@
 mod script;
 mod shutdown;
 mod size;
+mod startup;
 mod told_time;
 mod upgrade;
 mod window;
--- a/tests/limiter/upgrade.rs
+++ b/tests/limiter/upgrade.rs
@@ -152,3 +152,16 @@
         thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// The next process of an upgrade is killed as soon as it listens: the one before goes on, with its cordons.
+#[test]
+fn a_next_process_that_dies_before_it_is_ready_leaves_the_one_before_serving() {
+    let site = Site::new("dying");
+    let running = site.start();
+    assert_eq!(running.call("PUT", "cordon?name=s-2").status(), 200);
+    for _ in 0..5 {
+        drop(Limiter::start_in(&site.config, &[("TMPDIR", site.folder.display().to_string())]));
+        site.ask(&running, 20);
+    }
+    assert_eq!(site.servers[1].count(), 0, "it is still cordoned");
+}
