--- a/crates/rehearse/src/soak/backend.rs
+++ b/crates/rehearse/src/soak/backend.rs
@@ -56,6 +56,7 @@
 }
 
 impl Backends {
+    /// Backends that record what they see; `draws` decides what they do.
     pub fn new(records: Arc<Records>, max_work: Duration, draws: StdRng) -> Arc<Backends> {
         Arc::new(Backends { records, max_work, draws: Mutex::new(draws) })
     }
--- a/crates/rehearse/src/soak/discovery.rs
+++ b/crates/rehearse/src/soak/discovery.rs
@@ -60,6 +60,7 @@
 }
 
 impl Discovery {
+    /// An empty list, whose drains are recorded as they are told.
     pub fn new(records: Arc<Records>) -> Arc<Discovery> {
         let signal = watch::channel(Signal { version: 1, ..Signal::default() }).0;
         Arc::new(Discovery { entries: Mutex::default(), signal, records })
--- a/crates/rehearse/src/soak/mod.rs
+++ b/crates/rehearse/src/soak/mod.rs
@@ -9,6 +9,8 @@
 mod client;
 mod deployment;
 mod discovery;
+mod lateness;
+mod limiter;
 mod records;
 mod run;
 
--- a/crates/rehearse/src/soak/records.rs
+++ b/crates/rehearse/src/soak/records.rs
@@ -77,7 +77,7 @@
 }
 
 #[derive(Default)]
-struct Seen {
+struct Recorded {
     requests: Vec<RequestRecord>,
     attempts: Vec<AttemptRecord>,
     drains: HashMap<(usize, usize), Duration>,
@@ -86,13 +86,13 @@
 /// All records of a run.
 pub struct Records {
     origin: Instant,
-    seen: Mutex<Seen>,
+    recorded: Mutex<Recorded>,
 }
 
 impl Records {
     /// Records on a clock that starts now.
     pub fn new() -> Records {
-        Records { origin: Instant::now(), seen: Mutex::default() }
+        Records { origin: Instant::now(), recorded: Mutex::default() }
     }
 
     /// The time on the records' clock.
@@ -102,49 +102,49 @@
 
     /// Adds a request, and returns its place.
     pub fn add_request(&self, request: RequestRecord) -> usize {
-        let mut seen = locked(&self.seen);
-        seen.requests.push(request);
-        seen.requests.len() - 1
+        let mut recorded = locked(&self.recorded);
+        recorded.requests.push(request);
+        recorded.requests.len() - 1
     }
 
     /// A request ended for its client.
     pub fn end_request(&self, place: usize, end: ClientEnd) {
         let now = self.now();
-        locked(&self.seen).requests[place].end = Some((now, end));
+        locked(&self.recorded).requests[place].end = Some((now, end));
     }
 
     /// Adds an attempt, and returns its place.
     pub fn add_attempt(&self, attempt: AttemptRecord) -> usize {
-        let mut seen = locked(&self.seen);
-        seen.attempts.push(attempt);
-        seen.attempts.len() - 1
+        let mut recorded = locked(&self.recorded);
+        recorded.attempts.push(attempt);
+        recorded.attempts.len() - 1
     }
 
     /// An attempt came whole, or ended otherwise.
     pub fn end_attempt(&self, place: usize, end: AttemptEnd) {
-        locked(&self.seen).attempts[place].end = end;
+        locked(&self.recorded).attempts[place].end = end;
     }
 
     /// A watch was written that a backend drains or is gone; the first time counts.
     pub fn add_drain(&self, limiter: usize, backend: usize) {
         let now = self.now();
-        locked(&self.seen).drains.entry((limiter, backend)).or_insert(now);
+        locked(&self.recorded).drains.entry((limiter, backend)).or_insert(now);
     }
 
     /// All requests so far.
     pub fn requests(&self) -> Vec<RequestRecord> {
-        locked(&self.seen).requests.clone()
+        locked(&self.recorded).requests.clone()
     }
 
     /// All attempts so far.
     pub fn attempts(&self) -> Vec<AttemptRecord> {
-        locked(&self.seen).attempts.clone()
+        locked(&self.recorded).attempts.clone()
     }
 
     /// All drains told so far.
     pub fn drains(&self) -> Vec<DrainNotice> {
-        let seen = locked(&self.seen);
-        let drains = seen.drains.iter();
+        let recorded = locked(&self.recorded);
+        let drains = recorded.drains.iter();
         drains
             .map(|((limiter, backend), told_at)| DrainNotice {
                 limiter: *limiter,
--- a/crates/rehearse/src/soak/run.rs
+++ b/crates/rehearse/src/soak/run.rs
@@ -1,36 +1,30 @@
 //! One run: daemons, load, faults, signals in series, the kill, and the check.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use serde::Serialize;
 use tempfile::TempDir;
-use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 use super::backend::Backends;
 use super::checker::{check, Circumstances, Finding, Rule, StopTimes};
 use super::client::{Client, Phase};
 use super::deployment::Deployment;
 use super::discovery::{Discovery, State};
+use super::lateness::LatenessMonitor;
+use super::limiter::{Limiter, LOOK_EVERY, SETTLE_WITHIN};
 use super::records::Records;
-use crate::sync::locked;
-use crate::{daemons, io, Failure};
+use crate::{io, Failure};
 
-/// A limiter that does not listen, or gives descriptors back, after this has failed.
-const SETTLE_WITHIN: Duration = Duration::from_secs(10);
-/// How often something is looked at again.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// After the first signal to stop, new connections go on coming for so long.
 const CONNECTS_AFTER_STOP: Duration = Duration::from_millis(200);
 /// "SIGKILL comes after SIGTERM no sooner than the longest deadline (counted as 3 s where it is longer) plus 0.7 s."
@@ -50,8 +44,7 @@
 const LATE_MS: std::ops::Range<u64> = 100..900;
 /// A backend that drains is gone after so long.
 const DRAIN_LASTS: Duration = Duration::from_millis(600);
-/// The stand-ins' timers are looked at this often; later than this they could not play the run.
-const LATENESS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Stand-ins whose timers are later than this could not play the run.
 const VOID_LATENESS: Duration = Duration::from_millis(50);
 /// "32 MB".
 const MEMORY_LIMIT_KB: u64 = 32 << 10;
@@ -95,14 +88,6 @@
     runtime.map_err(io("runtime"))?.block_on(async { Run::start(options).await?.play().await })
 }
 
-/// A limiter that runs.
-struct Limiter {
-    child: Child,
-    address: SocketAddr,
-    log: Arc<Mutex<Vec<String>>>,
-    descriptors_at_start: usize,
-}
-
 /// A backend in service.
 struct RunningBackend {
     /// Counted over all lives.
@@ -216,35 +201,7 @@
         let config = self.deployment.config(number, agent, &self.discovery.servers());
         let file = self._folder.path().join(format!("n{number}.json"));
         std::fs::write(&file, config.to_string()).map_err(io("a configuration"))?;
-        let mut command = Command::from(daemons::command(&self.options.daemon, &file));
-        command.kill_on_drop(true);
-        let mut child = command.spawn().map_err(io(format!("{}", self.options.daemon.display())))?;
-        let stderr = child.stderr.take().expect("it is piped");
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let mut lines = BufReader::new(stderr).lines();
-        let kept = log.clone();
-        let (tell, mut told) = watch::channel(None);
-        tokio::spawn(async move {
-            while let Ok(Some(line)) = lines.next_line().await {
-                if let Some((_, address)) = line.split_once("front: listening on ") {
-                    tell.send_replace(address.trim().parse().ok());
-                }
-                locked(&kept).push(line);
-            }
-        });
-        let name = format!("n{number}");
-        let listening = timeout(SETTLE_WITHIN, told.wait_for(Option::is_some)).await;
-        let address = listening.ok().and_then(Result::ok).and_then(|address| *address);
-        let Some(address) = address else {
-            return Err(Failure::DaemonEnded { name, log: locked(&log).join(" | ") });
-        };
-        let mut limiter = Limiter { child, address, log, descriptors_at_start: 0 };
-        // Its watch on discovery is opened by then.
-        let deadline = Instant::now() + SETTLE_WITHIN;
-        while !limiter.is_ready().await && Instant::now() < deadline {
-            sleep(LOOK_EVERY).await;
-        }
-        limiter.descriptors_at_start = limiter.descriptors();
+        let limiter = Limiter::start(format!("n{number}"), &self.options.daemon, &file).await?;
         self.limiters.push(limiter);
         Ok(())
     }
@@ -317,15 +274,16 @@
         while self.limiters.iter().any(too_many) && Instant::now() < deadline {
             sleep(LOOK_EVERY).await;
         }
-        for (number, limiter) in self.limiters.iter().enumerate() {
+        for limiter in &self.limiters {
+            let name = &limiter.name;
             if too_many(limiter) {
                 let (now, before) = (limiter.descriptors(), limiter.descriptors_at_start);
-                let detail = format!("n{number} holds {now} descriptors, {before} after its start");
+                let detail = format!("{name} holds {now} descriptors, {before} after its start");
                 self.findings.push(Finding::new(Rule::Descriptors, detail));
             }
             let peak_kb = limiter.peak_memory_kb();
             if peak_kb > MEMORY_LIMIT_KB {
-                self.findings.push(Finding::new(Rule::Memory, format!("n{number} used {peak_kb} KB")));
+                self.findings.push(Finding::new(Rule::Memory, format!("{name} used {peak_kb} KB")));
             }
         }
     }
@@ -350,9 +308,7 @@
         let deadline = self.deployment.longest_deadline().min(LONGEST_COUNTED_DEADLINE);
         self.sleep_until(told_at + deadline + KILL_MARGIN).await;
         let killed_at = self.records.now();
-        for limiter in &mut self.limiters {
-            let _ = limiter.child.start_kill();
-        }
+        self.limiters.iter_mut().for_each(Limiter::kill);
         self.check_logs();
         StopTimes { told_at, killed_at }
     }
@@ -374,84 +330,17 @@
     }
 
     fn signal_all(&self, signal: Signal) {
-        for limiter in &self.limiters {
-            if let Some(pid) = limiter.pid() {
-                let _ = kill_process(pid, signal);
-            }
-        }
+        self.limiters.iter().for_each(|limiter| limiter.signal(signal));
     }
 
     fn check_alive(&mut self) {
-        for (number, limiter) in self.limiters.iter_mut().enumerate() {
-            if let Ok(Some(status)) = limiter.child.try_wait() {
-                let detail = format!("n{number} ended by itself: {status}");
-                self.findings.push(Finding::new(Rule::Crash, detail));
-            }
-        }
+        let ended = self.limiters.iter_mut().filter_map(Limiter::ended_by_itself);
+        self.findings.extend(ended.map(|detail| Finding::new(Rule::Crash, detail)));
     }
 
     fn check_logs(&mut self) {
-        for (number, limiter) in self.limiters.iter().enumerate() {
-            let log = locked(&limiter.log);
-            if let Some(line) = log.iter().find(|line| line.contains("panicked")) {
-                self.findings.push(Finding::new(Rule::Crash, format!("n{number}: {line}")));
-            }
-        }
-    }
-}
-
-impl Limiter {
-    fn pid(&self) -> Option<Pid> {
-        self.child.id().and_then(|pid| Pid::from_raw(pid as i32))
-    }
-
-    fn descriptors(&self) -> usize {
-        let folder = self.child.id().map(|pid| format!("/proc/{pid}/fd"));
-        folder.and_then(|folder| std::fs::read_dir(folder).ok()).map_or(0, Iterator::count)
-    }
-
-    fn peak_memory_kb(&self) -> u64 {
-        let file = self.child.id().map(|pid| format!("/proc/{pid}/status"));
-        let text = file.and_then(|file| std::fs::read_to_string(file).ok()).unwrap_or_default();
-        let fields: HashMap<&str, &str> = text.lines().filter_map(|line| line.split_once(':')).collect();
-        let peak = fields.get("VmHWM").and_then(|value| value.split_whitespace().next());
-        peak.and_then(|value| value.parse().ok()).unwrap_or(0)
-    }
-
-    async fn is_ready(&self) -> bool {
-        daemons::is_ready(self.address).await
-    }
-}
-
-/// Measures how late timers of this process are: the stand-ins' clocks are no better.
-struct LatenessMonitor {
-    largest: Arc<Mutex<Duration>>,
-    task: JoinHandle<()>,
-}
-
-impl LatenessMonitor {
-    fn start() -> LatenessMonitor {
-        let largest = Arc::new(Mutex::new(Duration::ZERO));
-        let measured = largest.clone();
-        let task = tokio::spawn(async move {
-            loop {
-                let due = Instant::now() + LATENESS_CHECK_INTERVAL;
-                tokio::time::sleep_until(due).await;
-                let mut largest = locked(&measured);
-                *largest = due.elapsed().max(*largest);
-            }
-        });
-        LatenessMonitor { largest, task }
-    }
-
-    fn largest(&self) -> Duration {
-        *locked(&self.largest)
-    }
-}
-
-impl Drop for LatenessMonitor {
-    fn drop(&mut self) {
-        self.task.abort();
+        let panics = self.limiters.iter().filter_map(Limiter::panic_line);
+        self.findings.extend(panics.map(|line| Finding::new(Rule::Crash, line)));
     }
 }
 
