--- a/crates/rehearse/src/soak/client.rs
+++ b/crates/rehearse/src/soak/client.rs
@@ -20,7 +20,7 @@
 /// How often a client leaves before its answer.
 const LEAVING_SHARE: f64 = 0.08;
 /// How often a client pauses amid a request, and for how long at most, milliseconds; a limiter waits for 2 s.
-const SLOW_SHARE: f64 = 0.08;
+const SLOW_SHARE: f64 = 0.15;
 const MAX_SLOW_MS: u64 = 1_500;
 /// The longest pause between two requests of a client, milliseconds.
 const MAX_PAUSE_MS: u64 = 80;
--- a/crates/rehearse/src/soak/run.rs
+++ b/crates/rehearse/src/soak/run.rs
@@ -40,7 +40,7 @@
 /// How long discovery is silent, milliseconds.
 const SILENCE_MS: std::ops::Range<u64> = 300..2_500;
 /// How often connections to a new backend come up late, and how late, milliseconds.
-const LATE_SHARE: f64 = 0.5;
+const LATE_SHARE: f64 = 0.7;
 const LATE_MS: std::ops::Range<u64> = 100..900;
 /// A backend that drains is gone after so long.
 const DRAIN_LASTS: Duration = Duration::from_millis(600);
@@ -188,8 +188,9 @@
         self.next_backend += 1;
         let address = self.backends.start(backend, late_by).await?;
         let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        // Those of the start are warm.
-        let started_ms = if self.limiters.is_empty() { 0 } else { started.as_millis() as u64 };
+        // Those of the start are warm, and those that connections reach late, so that they get their share at once.
+        let is_warm = self.limiters.is_empty() || !late_by.is_zero();
+        let started_ms = if is_warm { 0 } else { started.as_millis() as u64 };
         let running = RunningBackend { number: backend, address, started_ms };
         running.announce(&self.discovery, State::Ready);
         self.in_service.push(running);
