Know from the machine that a process is stopped and has a connection's end

Traced by its counters (taken=1, downstream_closed_idle=1, list_watches=2): its own wait had lasted for over 10 s, as it read the list of all the machine's connections over and over, and the client had been closed as idle. The connection's state is asked for alone now, and the wait for the stopped process is one of its own.

--- a/tests/common/script.rs
+++ b/tests/common/script.rs
@@ -1,6 +1,7 @@
 //! Peers that force an order of events on loopback, and barriers on what was observed.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 
 use socket2::{Domain, SockRef, Socket, Type};
@@ -55,26 +56,31 @@
 /// Ends the sending on a connection, and waits until the other machine has the end: its process then finds it before
 /// whatever comes later, on this connection or on others.
 pub fn end_sending(stream: &TcpStream) {
-    /// The state of a connection whose end was acknowledged, as /proc/net/tcp has it (FIN_WAIT2).
-    const END_ACKNOWLEDGED: &str = "05";
     stream.shutdown(std::net::Shutdown::Write).expect("it is open");
-    let port = |address: SocketAddr| format!(":{:04X}", address.port());
-    let near = port(stream.local_addr().expect("it is bound"));
-    let far = port(stream.peer_addr().expect("it is connected"));
-    loop {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("the machine lists its connections");
-        let is_acknowledged = table.lines().any(|line| {
-            let fields: Vec<&str> = line.split_whitespace().take(4).collect();
-            matches!(fields[..], [_, local, remote, END_ACKNOWLEDGED]
-                if local.ends_with(&near) && remote.ends_with(&far))
-        });
-        if is_acknowledged {
-            return;
-        }
+    while matches!(connection_state(stream), ESTABLISHED | END_NOT_ACKNOWLEDGED) {
         std::thread::yield_now();
     }
 }
 
+/// States of a connection, as the machine numbers them (TCP_ESTABLISHED, TCP_FIN_WAIT1).
+const ESTABLISHED: u8 = 1;
+const END_NOT_ACKNOWLEDGED: u8 = 4;
+
+fn connection_state(stream: &TcpStream) -> u8 {
+    let mut info = std::mem::MaybeUninit::<libc::tcp_info>::zeroed();
+    let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+    // SAFETY: the descriptor is open, and `info` has room for `length` bytes, any of which make a valid value.
+    let (result, info) = unsafe {
+        let pointer = info.as_mut_ptr().cast();
+        let descriptor = stream.as_raw_fd();
+        let result =
+            libc::getsockopt(descriptor, libc::IPPROTO_TCP, libc::TCP_INFO, pointer, &raw mut length);
+        (result, info.assume_init())
+    };
+    assert_eq!(result, 0, "the machine tells of its connections");
+    info.tcpi_state
+}
+
 /// The figure of `name` in a line of counters.
 pub fn figure(counters: &str, name: &str) -> u64 {
     let told = counters.split_whitespace().find_map(|c| c.strip_prefix(name)?.strip_prefix('='));
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -376,6 +376,19 @@
         assert!(done.expect("kill is there").success());
     }
 
+    /// Stops the process where it is, until SIGCONT.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        while !self.is_frozen() {
+            thread::yield_now();
+        }
+    }
+
+    fn is_frozen(&self) -> bool {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        text.lines().any(|line| line.starts_with("State:") && line.contains("stopped"))
+    }
+
     /// Replaces the configuration, tells the program to read it again, and gives what it says of that.
     pub fn reload(&mut self, config: &str) -> String {
         std::fs::write(&self.file, config).expect("the target folder can be written");
--- a/tests/limiter/told_time.rs
+++ b/tests/limiter/told_time.rs
@@ -70,7 +70,7 @@
 
     // The limiter finds the request and the end of its connection in one moment, and the listener shut.
     let unopened = Unopened::shut(listener);
-    limiter.signal("STOP");
+    limiter.freeze();
     end_sending(&pooled);
     let begun = Instant::now();
     client.write(&read("large", 1));
