--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -382,6 +382,10 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("the process runs").count()
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(status.expect("kill can be started").success());
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -8,6 +8,7 @@
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod filter;
 mod harness;
+mod large_fleet;
 mod pool;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod registers;
