Apply the drains of a list as they arrive, and keep a watch while entries arrive

Callers saw requests sent to draining servers. Cause: the silence deadline of a watch moved only with a complete list, so a list of 3,200 entries that took longer than 3 s ended its watch again and again and was never applied; and a list took effect with its last byte alone.

The decoder now decodes each entry as its last byte arrives, reports drains at once (also of a list that is never completed), and keeps no text of entries. Servers are taken into service, and missing ones removed, only with the end of the list. A watch is dead 3 s after the last complete entry, list or heartbeat; a list has 30 s.

--- a/src/net/control/actor.rs
+++ b/src/net/control/actor.rs
@@ -32,7 +32,7 @@
 use crate::net::control::versions::{
     ActiveVersion, ScheduledVersion, UnknownVersionPolicy, Version, VersionUpdate,
 };
-use crate::net::discovery::endpoints::EndpointsChange;
+use crate::net::discovery::endpoints::EndpointsUpdate;
 use crate::net::peers::OutgoingDatagram;
 use crate::net::quota_counter::CounterCall;
 use crate::net::runtime::clock::Clock;
@@ -145,7 +145,7 @@
     /// a batch, because a drain must not wait behind requests.
     pub async fn run(
         mut self,
-        mut endpoint_changes: mpsc::Receiver<EndpointsChange>,
+        mut endpoint_updates: mpsc::Receiver<EndpointsUpdate>,
         mut commands: mpsc::Receiver<ControlCommand>,
         mut mailbox: mpsc::Receiver<Message>,
     ) {
@@ -160,14 +160,14 @@
             let has_unsent = !self.unsent_attempts.is_empty() || !self.unsent_counter_calls.is_empty();
             tokio::select! {
                 biased;
-                Some(change) = endpoint_changes.recv() => self.on_endpoints_changed(change),
+                Some(update) = endpoint_updates.recv() => self.on_endpoints_update(update),
                 Some(command) = commands.recv() => self.on_control_command(command),
                 count = mailbox.recv_many(&mut messages, MAX_BATCH) => if count == 0 { return },
                 () = sleep.as_mut(), if due.is_some() => {}
                 () = std::future::ready(()), if has_unsent => {}
             }
-            while let Ok(change) = endpoint_changes.try_recv() {
-                self.on_endpoints_changed(change);
+            while let Ok(update) = endpoint_updates.try_recv() {
+                self.on_endpoints_update(update);
             }
             while let Ok(command) = commands.try_recv() {
                 self.on_control_command(command);
@@ -187,8 +187,15 @@
         }
     }
 
-    fn on_endpoints_changed(&mut self, change: EndpointsChange) {
-        if let Some(event) = self.endpoints.on_endpoints_changed(change) {
+    fn on_endpoints_update(&mut self, update: EndpointsUpdate) {
+        let event = match update {
+            EndpointsUpdate::Configured(change) | EndpointsUpdate::Changed(change) => {
+                self.endpoints.on_endpoints_changed(change)
+            }
+            EndpointsUpdate::Draining(notice) => self.endpoints.on_drains(notice),
+            EndpointsUpdate::Unchanged => None,
+        };
+        if let Some(event) = event {
             self.backend_counts_changed = true;
             self.events.push(event);
         }
--- a/src/net/control/endpoint_table.rs
+++ b/src/net/control/endpoint_table.rs
@@ -5,7 +5,7 @@
 
 use sedgestack::{BackendId, BackendState, Endpoint, Event};
 
-use crate::net::discovery::endpoints::{EndpointEntry, EndpointsChange};
+use crate::net::discovery::endpoints::{DrainNotice, EndpointEntry, EndpointsChange};
 use crate::net::upstream::{BackendHandle, UpstreamShared};
 
 /// A backend that discovery lists, with its actor.
@@ -93,6 +93,36 @@
         })
     }
 
+    /// Applies the drains in a list that is still being received. Returns the event for the decision logic, or `None` if
+    /// nothing changes. The list's version is not recorded, because the rest of the list is missing.
+    pub fn on_drains(&mut self, notice: DrainNotice) -> Option<Event> {
+        // A complete list with a lower version comes from a discovery service that lost its state.
+        let is_outdated =
+            |(version, is_complete): (u64, bool)| version < self.discovery_version && !is_complete;
+        if notice.list.is_some_and(is_outdated) {
+            return None;
+        }
+        let drained: Vec<Endpoint> =
+            notice.entries.into_iter().filter_map(|entry| self.drain(&entry.endpoint)).collect();
+        if drained.is_empty() {
+            return None;
+        }
+        self.changes += 1;
+        Some(Event::EndpointsChanged { version: self.changes, complete: false, endpoints: drained.into() })
+    }
+
+    /// Marks a backend in service as draining. Returns its endpoint, or `None` if nothing changes. An entry about an
+    /// earlier process of the backend does not apply.
+    fn drain(&mut self, entry: &Endpoint) -> Option<Endpoint> {
+        let known = self.backends.get_mut(&entry.backend)?;
+        if !known.is_in_service() || entry.started_at < known.endpoint.started_at {
+            return None;
+        }
+        known.handle.close();
+        known.endpoint.state = BackendState::Draining;
+        Some(known.endpoint.clone())
+    }
+
     fn remove_unlisted(&mut self, entries: &[EndpointEntry]) {
         let listed: HashSet<&BackendId> = entries.iter().map(|entry| &entry.endpoint.backend).collect();
         self.backends.retain(|backend, known| {
--- a/src/net/discovery/endpoints.rs
+++ b/src/net/discovery/endpoints.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 
 use sedgestack::{BackendState, Endpoint};
-use serde::de::IgnoredAny;
 use serde::Deserialize;
 
 use crate::info;
@@ -14,8 +13,8 @@
 /// An endpoint list as discovery writes it: either the complete list or only the entries that changed.
 #[derive(Deserialize)]
 pub struct WireList<S = WireServer> {
-    version: u64,
-    full: bool,
+    pub(super) version: u64,
+    pub(super) full: bool,
     servers: Vec<S>,
 }
 
@@ -25,14 +24,6 @@
     }
 }
 
-/// An entry of a list received through a watch. An unreadable entry must not make the rest of its list unreadable.
-#[derive(Deserialize)]
-#[serde(untagged)]
-pub enum WireItem {
-    Server(WireServer),
-    Unreadable(IgnoredAny),
-}
-
 /// A backend as discovery writes it.
 #[derive(Deserialize)]
 pub struct WireServer {
@@ -79,9 +70,37 @@
     pub addr: SocketAddr,
 }
 
-impl From<WireList> for EndpointsChange {
-    fn from(list: WireList) -> EndpointsChange {
-        let entry = |server: WireServer| EndpointEntry {
+impl EndpointEntry {
+    /// Whether the backend accepts requests.
+    pub fn is_in_service(&self) -> bool {
+        self.endpoint.state == BackendState::InService
+    }
+}
+
+/// Drains in the part of a list that has been received. They take effect at once, whether the list is ever completed or
+/// not.
+pub struct DrainNotice {
+    /// The version of the list and whether it is complete, if both are known.
+    pub list: Option<(u64, bool)>,
+    /// Endpoints that are draining or gone.
+    pub entries: Vec<EndpointEntry>,
+}
+
+/// What the control actor is told about the endpoints.
+pub enum EndpointsUpdate {
+    /// The endpoints in the configuration, which may be outdated.
+    Configured(EndpointsChange),
+    /// A list that discovery has sent completely.
+    Changed(EndpointsChange),
+    /// Drains in a list that is still being received.
+    Draining(DrainNotice),
+    /// The watch is open, and discovery has no change to report.
+    Unchanged,
+}
+
+impl From<WireServer> for EndpointEntry {
+    fn from(server: WireServer) -> EndpointEntry {
+        EndpointEntry {
             endpoint: Endpoint {
                 backend: server.id.into(),
                 state: match server.state {
@@ -95,30 +114,40 @@
                 weight: server.weight,
             },
             addr: server.addr,
-        };
+        }
+    }
+}
+
+impl From<WireList> for EndpointsChange {
+    fn from(list: WireList) -> EndpointsChange {
         EndpointsChange {
             version: list.version,
             discovery_moved: false,
             complete: list.full,
-            entries: list.servers.into_iter().map(entry).collect(),
+            entries: list.servers.into_iter().map(EndpointEntry::from).collect(),
         }
     }
 }
 
-impl From<WireList<WireItem>> for EndpointsChange {
-    fn from(list: WireList<WireItem>) -> EndpointsChange {
-        let received = list.servers.len();
-        let readable = |item| match item {
-            WireItem::Server(server) => Some(server),
-            WireItem::Unreadable(_) => None,
-        };
-        let servers: Vec<WireServer> = list.servers.into_iter().filter_map(readable).collect();
-        let unreadable = received - servers.len();
+impl EndpointsChange {
+    /// Returns the change that a received list describes. `list` is the list without its entries, of which `unreadable`
+    /// could not be read.
+    pub(super) fn from_received<S>(
+        list: &WireList<S>,
+        entries: Vec<EndpointEntry>,
+        unreadable: usize,
+    ) -> EndpointsChange {
         if unreadable > 0 {
             COUNTERS.list_unreadable.add(unreadable as u64);
             info!("list: version {}: {unreadable} entries cannot be read", list.version);
         }
-        // An unreadable entry may describe any backend, so backends missing from the list must not be treated as gone.
-        WireList { version: list.version, full: list.full && unreadable == 0, servers }.into()
+        EndpointsChange {
+            version: list.version,
+            discovery_moved: false,
+            // An unreadable entry may describe any backend, so backends missing from the list must not be treated as
+            // gone.
+            complete: list.full && unreadable == 0,
+            entries,
+        }
     }
 }
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod endpoints;
 mod list_decoder;
+mod list_scanner;
 mod pending_calls;
 mod watch;
 
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -6,6 +6,9 @@
 //! recovered is late 1 s after the recovery at the latest, and the next call follows within 0.5 s. After a SIGHUP the
 //! first call is made immediately; two calls that hang leave 1.85 s of the 4 s allowed.
 //!
+//! A list may take longer to arrive than the silence timeout, because its length grows with the number of backends. The
+//! watch is therefore kept as long as entries arrive, and the drains in a list take effect before it is complete.
+//!
 //! A late call is not given up when the next one is made. If discovery queues calls, giving a call up would move it to
 //! the end of the queue. The first call that is answered becomes the watch.
 
@@ -18,7 +21,7 @@
 use axum::http::uri::InvalidUri;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::{StatusCode, Uri};
 use hyper_util::client::legacy::connect::{Connect, HttpConnector};
 use hyper_util::client::legacy::Client;
@@ -30,13 +33,18 @@
 
 use crate::info;
 use crate::net::config::addresses::Addresses;
-use crate::net::discovery::endpoints::EndpointsChange;
-use crate::net::discovery::list_decoder::{ListDecoder, ListError};
+use crate::net::discovery::endpoints::EndpointsUpdate;
+use crate::net::discovery::list_decoder::{Decoded, ListDecoder, ListError};
 use crate::net::discovery::pending_calls::PendingCalls;
 use crate::net::runtime::metrics::COUNTERS;
 
-/// Time without data after which a watch is dead. Discovery sends an empty line every 2 s.
+/// Time without a complete entry, list or heartbeat after which a watch is dead. Discovery sends an empty line every
+/// 2 s.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a list that is still incomplete is given up, and the watch is reopened.
+const LIST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after the response head within which a discovery service with changes to report begins to send them.
+const FIRST_LIST_WAIT: Duration = Duration::from_millis(100);
 /// Time after which a call without a response head is late. Another call is then made after the backoff.
 const CALL_LATE_AFTER: Duration = Duration::from_secs(1);
 /// Minimum and maximum backoff between calls. It doubles while watches fail or end soon after they are opened.
@@ -52,6 +60,8 @@
     Address(#[from] InvalidUri),
     #[error("no data received")]
     Silent,
+    #[error("the list did not end")]
+    EndlessList,
     #[error("no response yet")]
     Late,
     #[error("{0:?}")]
@@ -97,7 +107,7 @@
         discovery: SocketAddr,
         version: u64,
         previous: Option<PreviousWatch>,
-        control: mpsc::Sender<EndpointsChange>,
+        control: mpsc::Sender<EndpointsUpdate>,
     ) -> Watch {
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
@@ -123,7 +133,7 @@
     connector: C,
     mut addresses: watch::Receiver<Addresses>,
     version: u64,
-    control: mpsc::Sender<EndpointsChange>,
+    control: mpsc::Sender<EndpointsUpdate>,
 ) {
     let mut discovery = addresses.borrow_and_update().discovery;
     let mut watch = Watch::start(connector.clone(), discovery, version, None, control.clone());
@@ -150,7 +160,7 @@
     /// The version reported last.
     version: Arc<AtomicU64>,
     previous: Option<PreviousWatch>,
-    control: mpsc::Sender<EndpointsChange>,
+    control: mpsc::Sender<EndpointsUpdate>,
 }
 
 impl<C: Connect + Clone + Send + Sync + 'static> WatchTask<C> {
@@ -179,19 +189,31 @@
         self.calls.clear();
         self.previous.take_if(|previous| !previous.is_from_other_discovery);
         let mut decoder = ListDecoder::default();
-        let mut silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+        let mut deadlines = WatchDeadlines::start();
         loop {
-            let frame = timeout_at(silence_deadline, body.frame()).await.map_err(|_| WatchError::Silent)?;
-            let frame = frame.ok_or(WatchError::Closed)??;
+            let frame = self.next_frame(&mut body, &mut deadlines).await?;
             let Some(bytes) = frame.data_ref() else { continue };
-            let was_partial = decoder.is_partial();
-            let changes = decoder.decode(bytes)?;
-            // A list that is never completed counts as silence.
-            if !changes.is_empty() || !was_partial || !decoder.is_partial() {
-                silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+            let decoded = decoder.decode(bytes)?;
+            deadlines.update(&decoded, decoder.is_partial());
+            self.send_decoded(decoded).await?;
+        }
+    }
+
+    /// Waits for the next part of a watch. Reports to the control actor, once, that discovery has nothing to report if it
+    /// sends nothing at the start of the watch.
+    async fn next_frame(
+        &mut self,
+        body: &mut Incoming,
+        deadlines: &mut WatchDeadlines,
+    ) -> Result<Frame<Bytes>, WatchError> {
+        if let Some(wait_end) = deadlines.first_list.take() {
+            match timeout_at(wait_end, body.frame()).await {
+                Ok(frame) => return Ok(frame.ok_or(WatchError::Closed)??),
+                Err(_) => self.send(EndpointsUpdate::Unchanged).await?,
             }
-            self.send_changes(changes).await?;
         }
+        let frame = timeout_at(deadlines.next(), body.frame()).await.map_err(|_| deadlines.error())?;
+        Ok(frame.ok_or(WatchError::Closed)??)
     }
 
     /// Makes a call and waits for the response to it or to an earlier call. If the call is late, it stays pending.
@@ -218,15 +240,67 @@
         None
     }
 
-    async fn send_changes(&mut self, changes: Vec<EndpointsChange>) -> Result<(), WatchError> {
-        for mut change in changes {
+    async fn send_decoded(&mut self, decoded: Decoded) -> Result<(), WatchError> {
+        for mut change in decoded.changes {
             self.version.store(change.version, Relaxed);
             change.discovery_moved = self.previous.take().is_some();
             COUNTERS.list_changes.increment();
-            self.control.send(change).await.map_err(|_| WatchError::ControlActorStopped)?;
+            self.send(EndpointsUpdate::Changed(change)).await?;
+        }
+        if let Some(mut drains) = decoded.drains {
+            // The versions of another discovery service cannot be compared with the known one.
+            drains.list = drains.list.filter(|_| self.previous.is_none());
+            self.send(EndpointsUpdate::Draining(drains)).await?;
         }
         Ok(())
     }
+
+    async fn send(&mut self, update: EndpointsUpdate) -> Result<(), WatchError> {
+        self.control.send(update).await.map_err(|_| WatchError::ControlActorStopped)
+    }
+}
+
+/// When a watch is given up.
+struct WatchDeadlines {
+    /// Until when discovery may begin to send its first list. `None` once it has been waited for.
+    first_list: Option<Instant>,
+    silence: Instant,
+    /// The end of the time for the list that is being received, if there is one.
+    list: Option<Instant>,
+}
+
+impl WatchDeadlines {
+    fn start() -> WatchDeadlines {
+        let now = Instant::now();
+        WatchDeadlines { first_list: Some(now + FIRST_LIST_WAIT), silence: now + SILENCE_TIMEOUT, list: None }
+    }
+
+    /// Updates the deadlines after bytes were received. `is_in_list` tells whether a list is incomplete.
+    fn update(&mut self, decoded: &Decoded, is_in_list: bool) {
+        let now = Instant::now();
+        if decoded.has_progress {
+            self.silence = now + SILENCE_TIMEOUT;
+        }
+        if !decoded.changes.is_empty() || !is_in_list {
+            self.list = None;
+        }
+        if is_in_list {
+            self.list.get_or_insert(now + LIST_TIMEOUT);
+        }
+    }
+
+    fn next(&self) -> Instant {
+        self.list.map_or(self.silence, |list| list.min(self.silence))
+    }
+
+    /// Returns why the watch ends at the next deadline.
+    fn error(&self) -> WatchError {
+        if self.next() < self.silence {
+            WatchError::EndlessList
+        } else {
+            WatchError::Silent
+        }
+    }
 }
 
 type CallResult = Result<Incoming, WatchError>;
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -28,7 +28,7 @@
 use crate::net::control::cordons;
 use crate::net::control::message::{ControlCommand, Message};
 use crate::net::discovery;
-use crate::net::discovery::endpoints::EndpointsChange;
+use crate::net::discovery::endpoints::EndpointsUpdate;
 use crate::net::listener::{self, Listener};
 use crate::net::peers::{OutgoingDatagram, Peers};
 use crate::net::quota_counter::{CounterCall, QuotaCounter};
@@ -262,9 +262,11 @@
 fn start_discovery(
     config: &Config,
     addresses: watch::Receiver<Addresses>,
-) -> Result<mpsc::Receiver<EndpointsChange>, RunError> {
+) -> Result<mpsc::Receiver<EndpointsUpdate>, RunError> {
     let (sender, changes) = mpsc::channel(SMALL_MAILBOX);
-    sender.try_send(config.initial_endpoints.clone()).map_err(|_| RunError::EndpointMailbox)?;
+    sender
+        .try_send(EndpointsUpdate::Configured(config.initial_endpoints.clone()))
+        .map_err(|_| RunError::EndpointMailbox)?;
     tokio::spawn(discovery::run(discovery::connector(), addresses, config.initial_endpoints.version, sender));
     Ok(changes)
 }
