Keep removed and drained backends out when a discovery that lags behind lists them

Callers saw requests sent to removed or draining servers after a SIGHUP or after discovery lost its versions. Cause: a backend that was gone was forgotten, and a drain was held against the first list of the next numbering only, so that its repetition on a further watch brought the backend back.

A process that drained or was removed under an earlier numbering stays out until it restarts. A backend that a list of a new numbering merely does not name may be newer than that list, and is not remembered.

--- a/src/net/control/endpoint_table.rs
+++ b/src/net/control/endpoint_table.rs
@@ -5,6 +5,7 @@
 
 use sedgestack::{BackendId, BackendState, Endpoint, Event};
 
+use crate::net::control::removed_backends::{Numbering, RemovedBackends};
 use crate::net::discovery::endpoints::{DrainNotice, EndpointEntry, EndpointsChange};
 use crate::net::upstream::{BackendHandle, UpstreamShared};
 
@@ -12,6 +13,8 @@
 struct KnownBackend {
     handle: BackendHandle,
     endpoint: Endpoint,
+    /// The numbering of list versions under which the backend was last reported as draining.
+    drained_under: Numbering,
 }
 
 impl KnownBackend {
@@ -43,12 +46,23 @@
     /// Number of changes passed to the decision logic, which is the list version that the decision logic sees.
     changes: u64,
     cordoned: BTreeSet<BackendId>,
+    /// The numbering of `discovery_version`.
+    numbering: Numbering,
+    removed: RemovedBackends,
 }
 
 impl EndpointTable {
     /// Creates a table without endpoints. `cordoned` are the backends that were cordoned before this process started.
     pub fn new(upstream: Arc<UpstreamShared>, cordoned: BTreeSet<BackendId>) -> EndpointTable {
-        EndpointTable { upstream, backends: HashMap::new(), discovery_version: 0, changes: 0, cordoned }
+        EndpointTable {
+            upstream,
+            backends: HashMap::new(),
+            discovery_version: 0,
+            changes: 0,
+            cordoned,
+            numbering: 0,
+            removed: RemovedBackends::default(),
+        }
     }
 
     /// Returns the events that report to the decision logic the cordons set before this process started.
@@ -79,11 +93,12 @@
             return None;
         }
         self.discovery_version = change.version;
+        self.numbering += u64::from(numbering_restarts);
         if change.complete {
-            self.remove_unlisted(&change.entries);
+            self.remove_unlisted(&change.entries, numbering_restarts);
         }
         for entry in &mut change.entries {
-            self.apply_entry(entry, numbering_restarts);
+            self.apply_entry(entry);
         }
         self.changes += 1;
         Some(Event::EndpointsChanged {
@@ -120,24 +135,33 @@
         }
         known.handle.close();
         known.endpoint.state = BackendState::Draining;
+        known.drained_under = self.numbering;
         Some(known.endpoint.clone())
     }
 
-    fn remove_unlisted(&mut self, entries: &[EndpointEntry]) {
+    /// Removes the backends that a complete list does not name. If the numbering restarts, the list may be older than a
+    /// backend, whose removal is then remembered only if it was draining.
+    fn remove_unlisted(&mut self, entries: &[EndpointEntry], numbering_restarts: bool) {
         let listed: HashSet<&BackendId> = entries.iter().map(|entry| &entry.endpoint.backend).collect();
+        let (removed, numbering) = (&mut self.removed, self.numbering);
         self.backends.retain(|backend, known| {
             let is_listed = listed.contains(backend);
             if !is_listed {
                 known.handle.close();
+                if !numbering_restarts || !known.is_in_service() {
+                    removed.insert(backend, known.endpoint.started_at, numbering);
+                }
             }
             is_listed
         });
     }
 
-    /// Applies one entry. `numbering_restarts` means that the list comes from a discovery service that restarted or
-    /// replaced another, so that the entry may be older than what is known.
-    fn apply_entry(&mut self, entry: &mut EndpointEntry, numbering_restarts: bool) {
-        self.keep_draining(entry, numbering_restarts);
+    fn apply_entry(&mut self, entry: &mut EndpointEntry) {
+        let outdated_since = self.outdated_since(entry);
+        if outdated_since.is_some() {
+            entry.endpoint.state = BackendState::Draining;
+        }
+        let drained_under = outdated_since.unwrap_or(self.numbering);
         let backend = &entry.endpoint.backend;
         if entry.endpoint.state != BackendState::InService {
             if let Some(known) = self.backends.get(backend) {
@@ -146,31 +170,37 @@
         }
         if entry.endpoint.state == BackendState::Gone {
             self.backends.remove(backend);
+            self.removed.insert(backend, entry.endpoint.started_at, self.numbering);
             return;
         }
         // A process that has restarted, moved or returned to service must not be reached through connections to its
         // predecessor.
         match self.backends.get_mut(backend) {
-            Some(known) if known.keeps_connections_for(entry) => known.endpoint = entry.endpoint.clone(),
-            _ => self.replace_backend(entry),
+            Some(known) if known.keeps_connections_for(entry) => {
+                known.endpoint = entry.endpoint.clone();
+                known.drained_under = drained_under;
+            }
+            _ => self.replace_backend(entry, drained_under),
         }
     }
 
-    /// Keeps a draining backend draining until its process restarts, even if the entry says that it is in service.
-    /// After a restart of the version numbering, the discovery service may not know of the drain yet.
-    fn keep_draining(&self, entry: &mut EndpointEntry, numbering_restarts: bool) {
-        let known = self.backends.get(&entry.endpoint.backend);
-        let is_in_service = entry.endpoint.state == BackendState::InService;
-        if numbering_restarts
-            && is_in_service
-            && known.is_some_and(|known| known.is_draining_process_of(entry))
-        {
-            entry.endpoint.state = BackendState::Draining;
+    /// If the entry says that a process is in service which was reported as draining or gone before the numbering of
+    /// versions last restarted, returns the numbering of that report. The discovery service may not know of it yet,
+    /// however often it repeats its list. Such a backend keeps draining until its process restarts.
+    fn outdated_since(&self, entry: &EndpointEntry) -> Option<Numbering> {
+        if !entry.is_in_service() {
+            return None;
         }
+        let backend = &entry.endpoint.backend;
+        let left_under = match self.backends.get(backend) {
+            Some(known) => known.is_draining_process_of(entry).then_some(known.drained_under),
+            None => self.removed.numbering_of(backend, entry.endpoint.started_at),
+        };
+        left_under.filter(|numbering| *numbering < self.numbering)
     }
 
     /// Starts a new actor for an entry and closes the previous one.
-    fn replace_backend(&mut self, entry: &EndpointEntry) {
+    fn replace_backend(&mut self, entry: &EndpointEntry, drained_under: Numbering) {
         let endpoint = entry.endpoint.clone();
         let backend = endpoint.backend.clone();
         if let Some(previous) = self.backends.get(&backend) {
@@ -180,7 +210,8 @@
         if endpoint.state != BackendState::InService || self.cordoned.contains(&backend) {
             handle.close();
         }
-        self.backends.insert(backend, KnownBackend { handle, endpoint });
+        self.removed.remove(&backend);
+        self.backends.insert(backend, KnownBackend { handle, endpoint, drained_under });
     }
 
     /// Whether a backend is listed or cordoned.
--- a/src/net/control/mod.rs
+++ b/src/net/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod cordons;
 mod endpoint_table;
 pub mod message;
+mod removed_backends;
 mod request_table;
 mod timers;
 pub mod versions;
