Wait up to a second for discovery before a new process is ready

Callers saw requests sent to a removed server by a limiter that had just started. Cause: a process was ready with the endpoints in its configuration, before discovery had said which of them were draining or gone.

The limiter is ready once discovery has sent a complete list or has nothing to report for 0.4 s after its response head, after 1 s at the latest. Three tests of the shutdown took a limiter for ready at once; they now wait for /ready first, and check the same.

--- a/src/net/control/actor.rs
+++ b/src/net/control/actor.rs
@@ -47,6 +47,9 @@
 /// become outliers, or recover, in between.
 const BACKEND_COUNTS_INTERVAL: Micros = 250_000;
 
+/// How long a new process waits to hear from discovery before it is ready: until a call that is not answered is late.
+const DISCOVERY_WAIT: Micros = 1_000_000;
+
 /// Minimum interval between two removals of unused classes and plans of old versions.
 const RETIRE_VERSIONS_INTERVAL: Micros = 1_000_000;
 
@@ -105,6 +108,10 @@
     capture: CaptureRecords,
     outcomes: Option<OutcomeRecorder>,
     ready: Arc<AtomicBool>,
+    /// Whether discovery has sent a complete list, or has nothing to report.
+    has_heard_from_discovery: bool,
+    /// When the limiter becomes ready even if it has not heard from discovery.
+    discovery_wait_end: Micros,
     stats: Arc<AdminStats>,
     /// Whether the endpoints or cordons changed in this batch, so that the backend counts must be published.
     backend_counts_changed: bool,
@@ -116,13 +123,16 @@
     pub fn new(limiter: Limiter, parts: ControlActorParts) -> ControlActor {
         let connect_timeout = parts.upstream.connect_timeout;
         let endpoints = EndpointTable::new(parts.upstream, parts.cordoned);
+        let discovery_wait_end = parts.clock.now() + DISCOVERY_WAIT;
+        let mut timers = TimerQueue::default();
+        timers.schedule(discovery_wait_end);
         ControlActor {
             limiter,
             clock: parts.clock,
             requests: RequestTable::new(parts.max_open_requests, parts.max_attempts),
             events: endpoints.initial_cordons(),
             endpoints,
-            timers: TimerQueue::default(),
+            timers,
             unsent_attempts: Vec::new(),
             unsent_counter_calls: Vec::new(),
             counter: parts.counter,
@@ -135,6 +145,8 @@
             capture: CaptureRecords::new(parts.capture, parts.clock),
             outcomes: parts.outcomes,
             ready: parts.ready,
+            has_heard_from_discovery: false,
+            discovery_wait_end,
             stats: parts.stats,
             backend_counts_changed: true,
             backend_counts_published_at: 0,
@@ -188,6 +200,8 @@
     }
 
     fn on_endpoints_update(&mut self, update: EndpointsUpdate) {
+        self.has_heard_from_discovery |=
+            matches!(update, EndpointsUpdate::Changed(_) | EndpointsUpdate::Unchanged);
         let event = match update {
             EndpointsUpdate::Configured(change) | EndpointsUpdate::Changed(change) => {
                 self.endpoints.on_endpoints_changed(change)
@@ -397,6 +411,9 @@
 
     /// Updates the readiness flag. Without versions, the limiter becomes ready once a backend is in service and then
     /// stays ready. With versions, it is ready while a backend is in service and the active version is known.
+    ///
+    /// A new process first waits for discovery, because the endpoints in its configuration may be draining or gone by
+    /// now.
     fn update_readiness(&mut self, now: Micros) {
         let has_versions = self.version_settings.is_some();
         if !has_versions && self.ready.load(Relaxed) {
@@ -409,7 +426,8 @@
             log::set_active_version(version);
         }
         let is_version_known = !has_versions || version.is_some();
-        self.ready.store(is_version_known && self.endpoints.has_backend_in_service(), Relaxed);
+        let has_waited = self.has_heard_from_discovery || now >= self.discovery_wait_end;
+        self.ready.store(has_waited && is_version_known && self.endpoints.has_backend_in_service(), Relaxed);
     }
 
     fn publish_backend_counts(&mut self, now: Micros) {
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -44,7 +44,7 @@
 /// Time after which a list that is still incomplete is given up, and the watch is reopened.
 const LIST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after the response head within which a discovery service with changes to report begins to send them.
-const FIRST_LIST_WAIT: Duration = Duration::from_millis(100);
+const FIRST_LIST_WAIT: Duration = Duration::from_millis(400);
 /// Time after which a call without a response head is late. Another call is then made after the backoff.
 const CALL_LATE_AFTER: Duration = Duration::from_secs(1);
 /// Minimum and maximum backoff between calls. It doubles while watches fail or end soon after they are opened.
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -313,6 +313,7 @@
 fn graceful_shutdown_answers_open_requests() {
     let (backend, release) = Backend::holding_answers();
     let (limiter, _push) = start_limiter(vec![backend.entry("s-1", "Ready")]);
+    limiter.wait_until_ready();
     let (mut busy, mut idle) = (limiter.connect(), limiter.connect());
     assert_eq!(idle.request("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
     busy.write(&get_request("large", 1));
--- a/tests/limiter/shutdown.rs
+++ b/tests/limiter/shutdown.rs
@@ -91,6 +91,7 @@
         profile["goalTimeMs"] = serde_json::json!(3000.0);
     }
     let limiter = Limiter::start(&config);
+    limiter.wait_until_ready();
     let mut client = limiter.connect();
     assert_eq!(client.request("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
     let late_request = get_request("large", 1);
@@ -116,6 +117,7 @@
     let (discovery, _push) = discovery();
     let (counter, _) = quota_counter(true);
     let limiter = Limiter::start(&config(discovery, counter, vec![hanging.entry("s-1", "Ready")]));
+    limiter.wait_until_ready();
     let mut client = limiter.connect();
     assert_eq!(client.request("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
     let late_request = get_request("large", 1);
