Keep the backends in service in indexes in place of walks over all backends

Callers saw requests sent to draining servers after a burst of changes. Cause: each change of the list sorted the ranks of all backends (choose_subset) and walked over all of them (retain), and each selection looked at all of them, so that a limiter with a fraction of a core fell behind a burst.

BackendSlots keeps backends in service by slot, by rank and by start of the warm-up. The subset is chosen once a batch.

--- a/src/decision/attempts.rs
+++ b/src/decision/attempts.rs
@@ -115,9 +115,11 @@
 
     /// Whether a backend in service is left that this request has not been sent to; `next` counts as sent to.
     fn has_untried_backend(&self, request: &PendingRequest, next: &BackendId) -> bool {
-        self.backends.entries.iter().any(|(name, backend)| {
-            backend.state == BackendState::InService && name != next && !request.tried.contains(name)
-        })
+        let is_in_service = |name: &BackendId| {
+            self.backends.entries.get(name).is_some_and(|backend| backend.state == BackendState::InService)
+        };
+        let tried = request.tried.iter().filter(|name| *name != next && is_in_service(name)).count();
+        self.backends.entries.in_service().len() > tried + usize::from(is_in_service(next))
     }
 
     /// Handles the end of an attempt: updates the backend's statistics, settles the units, and retries or
--- a/src/decision/backends.rs
+++ b/src/decision/backends.rs
@@ -1,8 +1,8 @@
 //! The table of the backends that service discovery lists.
 
-use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
+use super::backend_slots::BackendSlots;
 use super::cordons::effective_state;
 use super::engine::Limiter;
 use super::outlier::BackendHealth;
@@ -24,8 +24,8 @@
 }
 
 /// The state of a backend as this limiter sees it.
-#[derive(Default)]
 pub(super) struct Backend {
+    pub(super) name: BackendId,
     /// State used in decisions: the discovered state, or draining if an operator cordoned the backend.
     pub(super) state: BackendState,
     /// State last reported by service discovery.
@@ -40,12 +40,45 @@
     pub(super) window_attempts: WindowAttempts,
     /// Hash of the backend's name, the seed of random draws for this backend.
     pub(super) hash: u64,
+    /// Rank in this limiter's own order of backends: evenly distributed over the limiters, and constant.
+    pub(super) rank: u64,
+}
+
+impl Backend {
+    /// Creates a backend that has just been listed.
+    fn new(endpoint: &Endpoint, limiter: u32, initial_limit: f64) -> Backend {
+        let bytes = endpoint.backend.bytes();
+        let hash = bytes.fold(0, |hash, byte| mix_bits(hash ^ u64::from(byte)).wrapping_add(1));
+        Backend {
+            name: endpoint.backend.clone(),
+            state: BackendState::default(),
+            discovered_state: BackendState::default(),
+            zone: String::new(),
+            cell: 0,
+            started_at: endpoint.started_at,
+            in_flight: BTreeSet::new(),
+            health: BackendHealth::new(initial_limit),
+            utilization: ReportedUtilization::default(),
+            window_attempts: WindowAttempts::default(),
+            hash,
+            rank: mix_bits(u64::from(limiter) ^ hash),
+        }
+    }
+
+    /// Forgets what is known of the process if it is not the one that the endpoint describes. Attempts in
+    /// flight stay.
+    fn follow_process(&mut self, endpoint: &Endpoint, limiter: u32, initial_limit: f64) {
+        if self.started_at != endpoint.started_at {
+            let in_flight = std::mem::take(&mut self.in_flight);
+            *self = Backend { in_flight, ..Backend::new(endpoint, limiter, initial_limit) };
+        }
+    }
 }
 
 /// All listed backends and the values that they share.
 #[derive(Default)]
 pub(super) struct BackendTable {
-    pub(super) entries: BTreeMap<BackendId, Backend>,
+    pub(super) entries: BackendSlots,
     /// Version of the newest endpoint list.
     version: Option<u64>,
     /// Backends cordoned by an operator. They get no new attempts until they are uncordoned, whatever service
@@ -53,6 +86,8 @@
     pub(super) cordoned: BTreeSet<BackendId>,
     /// Highest rank within the backend subset, in this limiter's own order of backends.
     pub(super) max_rank: u64,
+    /// Whether endpoints or cordons have changed since the subset was chosen.
+    pub(super) subset_is_outdated: bool,
     /// Moving average of the utilization that backends report.
     pub(super) mean_utilization: f64,
 }
@@ -60,49 +95,40 @@
 impl BackendTable {
     /// Applies an endpoint list: all endpoints if `complete`, otherwise those that changed. Returns false and
     /// changes nothing if the list is older than the newest one.
-    fn update(&mut self, version: u64, complete: bool, endpoints: &[Endpoint], initial_limit: f64) -> bool {
+    fn update(
+        &mut self,
+        version: u64,
+        complete: bool,
+        endpoints: &[Endpoint],
+        limiter: u32,
+        initial_limit: f64,
+    ) -> bool {
         if self.version.is_some_and(|newest| version < newest) {
             return false;
         }
         self.version = Some(version);
         if complete {
-            self.mark_missing(endpoints);
+            let names: BTreeSet<&BackendId> = endpoints.iter().map(|endpoint| &endpoint.backend).collect();
+            self.entries.mark_missing(|name| names.contains(name));
         }
         for endpoint in endpoints {
-            self.update_endpoint(endpoint, initial_limit);
+            self.update_endpoint(endpoint, limiter, initial_limit);
         }
-        self.entries.retain(|_, b| b.state != BackendState::Gone || !b.in_flight.is_empty());
+        self.entries.remove_gone();
         true
     }
 
-    fn mark_missing(&mut self, endpoints: &[Endpoint]) {
-        let names: BTreeSet<&BackendId> = endpoints.iter().map(|endpoint| &endpoint.backend).collect();
-        let missing = self.entries.iter_mut().filter(|(name, _)| !names.contains(name));
-        missing.for_each(|(_, backend)| backend.state = BackendState::Gone);
-    }
-
-    fn update_endpoint(&mut self, endpoint: &Endpoint, initial_limit: f64) {
-        let bytes = endpoint.backend.bytes();
-        let hash = bytes.fold(0, |hash, byte| mix_bits(hash ^ u64::from(byte)).wrapping_add(1));
-        let started_at = endpoint.started_at;
-        let health = BackendHealth::new(initial_limit);
-        let fresh = Backend { hash, started_at, health, ..Backend::default() };
-        let backend = match self.entries.entry(endpoint.backend.clone()) {
-            Entry::Vacant(vacant) => vacant.insert(fresh),
-            Entry::Occupied(occupied) => {
-                let backend = occupied.into_mut();
-                if backend.started_at != started_at {
-                    let in_flight = std::mem::take(&mut backend.in_flight);
-                    *backend = Backend { in_flight, ..fresh };
-                }
-                backend
-            }
-        };
-        // From here on a draining backend gets nothing new, not even queued requests or retries.
-        backend.discovered_state = endpoint.state;
-        backend.state = effective_state(&self.cordoned, &endpoint.backend, endpoint.state);
-        backend.zone = endpoint.zone.clone();
-        backend.cell = endpoint.cell;
+    fn update_endpoint(&mut self, endpoint: &Endpoint, limiter: u32, initial_limit: f64) {
+        let state = effective_state(&self.cordoned, &endpoint.backend, endpoint.state);
+        let create = || Backend::new(endpoint, limiter, initial_limit);
+        self.entries.update(&endpoint.backend, create, |backend| {
+            backend.follow_process(endpoint, limiter, initial_limit);
+            // From here on a draining backend gets nothing new, not even queued requests or retries.
+            backend.discovered_state = endpoint.state;
+            backend.state = state;
+            backend.zone.clone_from(&endpoint.zone);
+            backend.cell = endpoint.cell;
+        });
     }
 }
 
@@ -110,8 +136,8 @@
     /// Handles an endpoint list from service discovery.
     pub(super) fn on_endpoints_changed(&mut self, version: u64, complete: bool, endpoints: &[Endpoint]) {
         let initial_limit = (INITIAL_LIMIT / self.settings.limiters as f64).max(1.0);
-        if self.backends.update(version, complete, endpoints, initial_limit) {
-            self.choose_subset();
-        }
+        let limiter = self.settings.limiter;
+        let is_applied = self.backends.update(version, complete, endpoints, limiter, initial_limit);
+        self.backends.subset_is_outdated |= is_applied;
     }
 }
--- a/src/decision/cordons.rs
+++ b/src/decision/cordons.rs
@@ -32,9 +32,10 @@
         } else {
             self.cordoned.remove(backend);
         }
-        if let Some(entry) = self.entries.get_mut(backend) {
-            entry.state = effective_state(&self.cordoned, backend, entry.discovered_state);
-        }
+        let cordoned = &self.cordoned;
+        self.entries.update_listed(backend, |entry| {
+            entry.state = effective_state(cordoned, backend, entry.discovered_state);
+        });
     }
 }
 
@@ -44,7 +45,7 @@
     /// if it restarted in the meantime, it warms up.
     pub(super) fn on_cordon(&mut self, backend: &BackendId, cordoned: bool) {
         self.backends.cordon(backend, cordoned);
-        self.choose_subset();
+        self.backends.subset_is_outdated = true;
     }
 
     /// Counts the listed backends and those of them that are avoided now: cordoned or draining ones, full
@@ -53,7 +54,7 @@
     pub fn backend_counts(&self) -> BackendCounts {
         let mut counts = BackendCounts::default();
         let discovered = |b: &&Backend| b.discovered_state != BackendState::Gone;
-        for backend in self.backends.entries.values().filter(discovered) {
+        for backend in self.backends.entries.iter().filter(discovered) {
             counts.listed += 1;
             counts.avoided += usize::from(self.is_avoided(backend));
         }
--- a/src/decision/engine.rs
+++ b/src/decision/engine.rs
@@ -105,6 +105,7 @@
         while let Some(timer) = self.timers.pop_due(self.now) {
             self.on_timer(timer);
         }
+        self.update_outdated_subset();
         self.measure_load();
         self.release();
         if let Some(after) = self.timers.arm(self.now) {
--- a/src/decision/load.rs
+++ b/src/decision/load.rs
@@ -2,7 +2,7 @@
 
 use super::engine::Limiter;
 use super::SECOND;
-use crate::interface::{BackendState, Micros};
+use crate::interface::Micros;
 
 /// Interval of the load measurement.
 const MEASUREMENT_INTERVAL: Micros = 500_000;
@@ -84,8 +84,9 @@
     /// the load per backend does not seem unbounded while most of them warm up.
     fn serving_capacity(&self) -> f64 {
         let backends = &self.backends.entries;
-        let serving = backends.values().filter(|backend| backend.state == BackendState::InService);
-        let capacity: f64 = serving.map(|backend| self.capacity_share(backend)).sum();
+        let in_service = backends.in_service();
+        let warming = in_service.warming_from(0).map(|slot| self.capacity_share(backends.at(slot)));
+        let capacity = in_service.warm_count() as f64 + warming.sum::<f64>();
         capacity.max((backends.len() as f64 / 2.0).max(1.0))
     }
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions of one limiter, without I/O: it takes events and returns actions (both in `src/interface`).
 
 mod attempts;
+mod backend_slots;
 mod backends;
 mod concurrency;
 mod cordons;
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -1,16 +1,20 @@
 //! Selects the backend of an attempt, and the subset of backends that a limiter uses in many-limiters mode.
 
+use super::backend_slots::Slot;
 use super::backends::Backend;
 use super::engine::Limiter;
-use super::random::mix_bits;
 use super::requests::PendingRequest;
 use super::SECOND;
-use crate::interface::{BackendId, BackendState, Micros, RequestId};
+use crate::interface::{BackendId, Micros, RequestId};
 
 /// Size of the backend subset in many-limiters mode: at least `MIN_SUBSET` warm backends, and more where each
 /// backend would otherwise get fewer than `LIMITERS_PER_BACKEND` limiters.
 const MIN_SUBSET: usize = 20;
 const LIMITERS_PER_BACKEND: usize = 16;
+/// Maximum number of backends that are compared for an attempt, once an eligible one was found among them. In
+/// a larger fleet the backends that are compared are a random part of it, among which the best is almost as
+/// good as the best of all.
+const MAX_COMPARED: usize = 256;
 /// Weight in the score of a backend's reported utilization relative to the mean, the time constant in
 /// microseconds with which a report fades, and the minimum of the resulting factor.
 const UTILIZATION_WEIGHT: f64 = 1.0;
@@ -46,10 +50,11 @@
 }
 
 impl Limiter {
-    /// Returns a backend's rank in this limiter's own order of backends: evenly distributed over the
-    /// limiters, and constant.
-    fn rank(&self, backend: &Backend) -> u64 {
-        mix_bits(u64::from(self.settings.limiter) ^ backend.hash)
+    /// Updates the backend subset if endpoints or cordons have changed.
+    pub(super) fn update_outdated_subset(&mut self) {
+        if self.backends.subset_is_outdated {
+            self.choose_subset();
+        }
     }
 
     /// Updates the backend subset. In many-limiters mode each limiter sends to a subset of the warm backends:
@@ -58,33 +63,61 @@
     /// warming up are used within their slow-start budget, and retries of requests that may have run go to
     /// any backend that may take them.
     pub(super) fn choose_subset(&mut self) {
+        self.backends.subset_is_outdated = false;
+        let (slow_start, now) = (self.settings.slow_start, self.now);
+        self.backends.entries.promote_warm(|backend| backend.capacity_share(&slow_start, now) == 1.0);
         if !self.many_limiters {
             return;
         }
-        let is_warm = |b: &&Backend| b.state == BackendState::InService && self.capacity_share(b) == 1.0;
-        let warm = self.backends.entries.values().filter(is_warm);
-        let mut ranks: Vec<u64> = warm.map(|backend| self.rank(backend)).collect();
-        let shared = LIMITERS_PER_BACKEND * ranks.len() / self.settings.limiters as usize;
-        ranks.sort_unstable();
-        let last = ranks.get(MIN_SUBSET.max(shared) - 1).copied();
-        self.backends.max_rank = last.unwrap_or(u64::MAX);
+        let in_service = self.backends.entries.in_service();
+        let shared = LIMITERS_PER_BACKEND * in_service.warm_count() / self.settings.limiters as usize;
+        self.backends.max_rank = in_service.rank_of_subset(MIN_SUBSET.max(shared)).unwrap_or(u64::MAX);
     }
 
     /// Returns the best backend that may get an attempt of this request now.
     pub(super) fn select_backend(&self, id: RequestId) -> Option<BackendId> {
         let request = &self.requests[&id];
-        let mut best: Option<(f64, &BackendId)> = None;
-        for (name, backend) in &self.backends.entries {
-            let is_open = backend.state == BackendState::InService && !request.tried.contains(name);
-            if !is_open || !self.is_eligible(request, backend) {
+        let in_service = self.backends.entries.in_service();
+        // Drawn anew at each time, so that a request that finds the backends full compares others later.
+        let draw = self.random.draw_fraction(id ^ self.now);
+        let start = (draw * self.backends.entries.slot_count() as f64) as Slot;
+        let start_rank = (draw * self.backends.max_rank as f64) as u64;
+        let best = if !self.many_limiters || request.first_run.is_some() {
+            self.best_of(id, request, in_service.all_from(start))
+        } else {
+            let warm = in_service.warm_from(start_rank, self.backends.max_rank).take(MAX_COMPARED);
+            let warming = in_service.warming_from(start).take(MAX_COMPARED);
+            self.best_of(id, request, warm.chain(warming))
+        };
+        best.map(|backend| backend.name.clone())
+    }
+
+    /// Returns the best of the backends that may get an attempt of a request. Of equal ones, the first in the
+    /// order of names is the best.
+    fn best_of(
+        &self,
+        id: RequestId,
+        request: &PendingRequest,
+        slots: impl Iterator<Item = Slot>,
+    ) -> Option<&Backend> {
+        let mut best: Option<(f64, &Backend)> = None;
+        for (compared, slot) in slots.enumerate() {
+            if compared >= MAX_COMPARED && best.is_some() {
+                break;
+            }
+            let backend = self.backends.entries.at(slot);
+            if request.tried.contains(&backend.name) || !self.is_eligible(request, backend) {
                 continue;
             }
             let score = self.score(id, backend);
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, name));
+            let is_better = |(lowest, lowest_backend): (f64, &Backend)| {
+                score < lowest || (score == lowest && backend.name < lowest_backend.name)
+            };
+            if best.is_none_or(is_better) {
+                best = Some((score, backend));
             }
         }
-        best.map(|(_, name)| name.clone())
+        best.map(|(_, backend)| backend)
     }
 
     /// Whether idempotency, slow start, the subset and the fullness gate allow an attempt of a request at a
@@ -98,7 +131,7 @@
         let is_chosen = if share < 1.0 {
             self.has_slow_start_budget(backend, share)
         } else {
-            !self.many_limiters || request.first_run.is_some() || self.rank(backend) <= self.backends.max_rank
+            !self.many_limiters || request.first_run.is_some() || backend.rank <= self.backends.max_rank
         };
         is_chosen && !self.is_full(backend)
     }
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -4,6 +4,7 @@
 use super::engine::Limiter;
 use super::random::mix_bits;
 use super::SECOND;
+use crate::interface::{Micros, SlowStart};
 
 /// Part of the overload limit that is used; the rest is a margin for chance and for limiters that see more of
 /// the traffic.
@@ -36,6 +37,17 @@
     }
 }
 
+impl Backend {
+    /// Returns the share of its capacity that the backend has at least.
+    pub(super) fn capacity_share(&self, slow_start: &SlowStart, now: Micros) -> f64 {
+        if self.started_at == 0 {
+            return 1.0;
+        }
+        let age = now.saturating_sub(self.started_at) as f64 / slow_start.duration.max(1) as f64;
+        (slow_start.initial_share + (1.0 - slow_start.initial_share) * age).clamp(MIN_SHARE, 1.0)
+    }
+}
+
 impl Limiter {
     /// Returns the number of this limiter's current overload window.
     pub(super) fn overload_window(&self) -> u64 {
@@ -44,12 +56,7 @@
 
     /// Returns the share of its capacity that a backend has at least.
     pub(super) fn capacity_share(&self, backend: &Backend) -> f64 {
-        if backend.started_at == 0 {
-            return 1.0;
-        }
-        let slow_start = &self.settings.slow_start;
-        let age = self.now.saturating_sub(backend.started_at) as f64 / slow_start.duration.max(1) as f64;
-        (slow_start.initial_share + (1.0 - slow_start.initial_share) * age).clamp(MIN_SHARE, 1.0)
+        backend.capacity_share(&self.settings.slow_start, self.now)
     }
 
     /// Whether a backend that is warming up may get one more attempt.
