Start the actor of a backend with its first command, and pass on only what changed

The endpoint table now reports the endpoints that differ, and removals by name; actors start with their first command; counts are published at most every 20 ms after a change of the list, and at once after a cordon.

--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -17,7 +17,7 @@
 }
 
 /// A backend's record in service discovery.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
     /// Name of the backend.
     pub backend: BackendId,
--- a/src/net/control/actor.rs
+++ b/src/net/control/actor.rs
@@ -47,6 +47,9 @@
 /// become outliers, or recover, in between.
 const BACKEND_COUNTS_INTERVAL: Micros = 250_000;
 
+/// Minimum interval between two publications of the backend counts, which are taken over all backends.
+const MIN_BACKEND_COUNTS_INTERVAL: Micros = 20_000;
+
 /// How long a new process waits to hear from discovery before it is ready: until a call that is not answered is late.
 const DISCOVERY_WAIT: Micros = 1_000_000;
 
@@ -113,9 +116,12 @@
     /// When the limiter becomes ready even if it has not heard from discovery.
     discovery_wait_end: Micros,
     stats: Arc<AdminStats>,
-    /// Whether the endpoints or cordons changed in this batch, so that the backend counts must be published.
+    /// Whether the endpoints changed since the backend counts were published.
     backend_counts_changed: bool,
+    /// Reset by a change of the cordons, which is published at once.
     backend_counts_published_at: Micros,
+    /// Time of the last timer that was set to publish a change.
+    backend_counts_scheduled_for: Micros,
 }
 
 impl ControlActor {
@@ -150,6 +156,7 @@
             stats: parts.stats,
             backend_counts_changed: true,
             backend_counts_published_at: 0,
+            backend_counts_scheduled_for: 0,
         }
     }
 
@@ -234,14 +241,16 @@
         if !self.endpoints.is_known(&backend) {
             return None;
         }
-        self.backend_counts_changed = true;
+        self.backend_counts_published_at = 0;
         self.events.push(self.endpoints.set_cordon(backend, cordoned));
         Some(self.endpoints.cordoned_names())
     }
 
     fn replace_cordons(&mut self, names: BTreeSet<BackendId>) {
         let events = self.endpoints.replace_cordons(names);
-        self.backend_counts_changed |= !events.is_empty();
+        if !events.is_empty() {
+            self.backend_counts_published_at = 0;
+        }
         self.events.extend(events);
     }
 
@@ -431,12 +440,20 @@
     }
 
     fn publish_backend_counts(&mut self, now: Micros) {
-        let is_due = now >= self.backend_counts_published_at + BACKEND_COUNTS_INTERVAL;
-        if std::mem::take(&mut self.backend_counts_changed) || is_due {
-            self.backend_counts_published_at = now;
-            let counts = self.limiter.backend_counts();
-            self.stats.set_backend_counts(counts.listed, counts.avoided);
+        let interval =
+            if self.backend_counts_changed { MIN_BACKEND_COUNTS_INTERVAL } else { BACKEND_COUNTS_INTERVAL };
+        let due = self.backend_counts_published_at + interval;
+        if now < due {
+            if self.backend_counts_changed && self.backend_counts_scheduled_for != due {
+                self.backend_counts_scheduled_for = due;
+                self.timers.schedule(due);
+            }
+            return;
         }
+        self.backend_counts_changed = false;
+        self.backend_counts_published_at = now;
+        let counts = self.limiter.backend_counts();
+        self.stats.set_backend_counts(counts.listed, counts.avoided);
     }
 
     fn execute(&mut self, now: Micros, action: Action) {
--- a/src/net/control/endpoint_table.rs
+++ b/src/net/control/endpoint_table.rs
@@ -81,9 +81,9 @@
         self.backends.values().any(KnownBackend::is_in_service)
     }
 
-    /// Applies a change of the endpoint list. Returns the event for the decision logic, or `None` if the change is
-    /// outdated.
-    pub fn on_endpoints_changed(&mut self, mut change: EndpointsChange) -> Option<Event> {
+    /// Applies a change of the endpoint list. Returns the event for the decision logic, which has the endpoints that
+    /// differ from what was known, or `None` if there are none or the change is outdated.
+    pub fn on_endpoints_changed(&mut self, change: EndpointsChange) -> Option<Event> {
         // Versions are comparable only within one discovery service. A complete list with a lower version comes from a
         // discovery service that lost its state. Its version must replace the known one, or all later changes would be
         // ignored as outdated.
@@ -94,18 +94,25 @@
         }
         self.discovery_version = change.version;
         self.numbering += u64::from(numbering_restarts);
+        let mut changed = Vec::new();
         if change.complete {
-            self.remove_unlisted(&change.entries, numbering_restarts);
+            self.remove_unlisted(&change.entries, numbering_restarts, &mut changed);
         }
-        for entry in &mut change.entries {
-            self.apply_entry(entry);
+        for mut entry in change.entries {
+            if self.apply_entry(&mut entry) {
+                changed.push(entry.endpoint);
+            }
+        }
+        self.event(changed)
+    }
+
+    /// Returns the event that reports changed endpoints to the decision logic, or `None` if there are none.
+    fn event(&mut self, changed: Vec<Endpoint>) -> Option<Event> {
+        if changed.is_empty() {
+            return None;
         }
         self.changes += 1;
-        Some(Event::EndpointsChanged {
-            version: self.changes,
-            complete: change.complete,
-            endpoints: change.entries.into_iter().map(|entry| entry.endpoint).collect(),
-        })
+        Some(Event::EndpointsChanged { version: self.changes, complete: false, endpoints: changed.into() })
     }
 
     /// Applies the drains in a list that is still being received. Returns the event for the decision logic, or `None` if
@@ -119,11 +126,7 @@
         }
         let drained: Vec<Endpoint> =
             notice.entries.into_iter().filter_map(|entry| self.drain(&entry.endpoint)).collect();
-        if drained.is_empty() {
-            return None;
-        }
-        self.changes += 1;
-        Some(Event::EndpointsChanged { version: self.changes, complete: false, endpoints: drained.into() })
+        self.event(drained)
     }
 
     /// Marks a backend in service as draining. Returns its endpoint, or `None` if nothing changes. An entry about an
@@ -140,14 +143,20 @@
     }
 
     /// Removes the backends that a complete list does not name. If the numbering restarts, the list may be older than a
-    /// backend, whose removal is then remembered only if it was draining.
-    fn remove_unlisted(&mut self, entries: &[EndpointEntry], numbering_restarts: bool) {
+    /// backend, whose removal is then remembered only if it was draining. Adds the removed endpoints to `changed`.
+    fn remove_unlisted(
+        &mut self,
+        entries: &[EndpointEntry],
+        numbering_restarts: bool,
+        changed: &mut Vec<Endpoint>,
+    ) {
         let listed: HashSet<&BackendId> = entries.iter().map(|entry| &entry.endpoint.backend).collect();
         let (removed, numbering) = (&mut self.removed, self.numbering);
         self.backends.retain(|backend, known| {
             let is_listed = listed.contains(backend);
             if !is_listed {
                 known.handle.close();
+                changed.push(Endpoint { state: BackendState::Gone, ..known.endpoint.clone() });
                 if !numbering_restarts || !known.is_in_service() {
                     removed.insert(backend, known.endpoint.started_at, numbering);
                 }
@@ -156,32 +165,46 @@
         });
     }
 
-    fn apply_entry(&mut self, entry: &mut EndpointEntry) {
+    /// Applies an entry. Returns whether its endpoint differs from what was known.
+    fn apply_entry(&mut self, entry: &mut EndpointEntry) -> bool {
         let outdated_since = self.outdated_since(entry);
         if outdated_since.is_some() {
             entry.endpoint.state = BackendState::Draining;
         }
         let drained_under = outdated_since.unwrap_or(self.numbering);
         let backend = &entry.endpoint.backend;
-        if entry.endpoint.state != BackendState::InService {
-            if let Some(known) = self.backends.get(backend) {
-                known.handle.close();
-            }
-        }
         if entry.endpoint.state == BackendState::Gone {
-            self.backends.remove(backend);
-            self.removed.insert(backend, entry.endpoint.started_at, self.numbering);
-            return;
+            return self.remove(&entry.endpoint);
         }
         // A process that has restarted, moved or returned to service must not be reached through connections to its
         // predecessor.
         match self.backends.get_mut(backend) {
             Some(known) if known.keeps_connections_for(entry) => {
-                known.endpoint = entry.endpoint.clone();
+                if !entry.is_in_service() {
+                    known.handle.close();
+                }
                 known.drained_under = drained_under;
+                let is_changed = known.endpoint != entry.endpoint;
+                if is_changed {
+                    known.endpoint = entry.endpoint.clone();
+                }
+                is_changed
             }
-            _ => self.replace_backend(entry, drained_under),
+            _ => {
+                self.replace_backend(entry, drained_under);
+                true
+            }
+        }
+    }
+
+    /// Removes a backend that is gone. Returns whether it was known.
+    fn remove(&mut self, endpoint: &Endpoint) -> bool {
+        self.removed.insert(&endpoint.backend, endpoint.started_at, self.numbering);
+        let known = self.backends.remove(&endpoint.backend);
+        if let Some(known) = &known {
+            known.handle.close();
         }
+        known.is_some()
     }
 
     /// If the entry says that a process is in service which was reported as draining or gone before the numbering of
@@ -206,7 +229,7 @@
         if let Some(previous) = self.backends.get(&backend) {
             previous.handle.close();
         }
-        let handle = BackendHandle::start(backend.clone(), entry.addr, self.upstream.clone());
+        let handle = BackendHandle::new(backend.clone(), entry.addr, self.upstream.clone());
         if endpoint.state != BackendState::InService || self.cordoned.contains(&backend) {
             handle.close();
         }
@@ -251,7 +274,7 @@
     fn reopen(&mut self, backend: &BackendId) {
         if let Some(known) = self.backends.get_mut(backend).filter(|known| known.is_in_service()) {
             let addr = known.handle.addr;
-            known.handle = BackendHandle::start(backend.clone(), addr, self.upstream.clone());
+            known.handle = BackendHandle::new(backend.clone(), addr, self.upstream.clone());
         }
     }
 }
--- a/src/net/upstream/actor.rs
+++ b/src/net/upstream/actor.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use axum::http::HeaderValue;
 use futures_util::future::{abortable, AbortHandle, Aborted};
@@ -36,24 +36,37 @@
     Probe { started_at: Instant, deadline: Instant },
 }
 
-/// A handle to a backend's actor. Once all handles are dropped, the actor finishes its attempts and health checks and
-/// stops.
+/// A handle to a backend's actor, which starts with its first command: a limiter uses few of the backends of a large
+/// fleet. Once all handles are dropped, the actor finishes its attempts and health checks and stops.
 #[derive(Clone)]
 pub struct BackendHandle {
     pub id: BackendId,
     pub addr: SocketAddr,
-    commands: mpsc::Sender<BackendCommand>,
     closed: Arc<AtomicBool>,
+    mailbox: Arc<LazyMailbox>,
+}
+
+/// The mailbox of a backend's actor.
+struct LazyMailbox {
+    shared: Arc<UpstreamShared>,
+    /// Set when the actor starts.
+    commands: OnceLock<mpsc::Sender<BackendCommand>>,
 }
 
 impl BackendHandle {
-    /// Starts the actor of a backend.
-    pub fn start(backend: BackendId, addr: SocketAddr, shared: Arc<UpstreamShared>) -> BackendHandle {
-        let (commands, mailbox) = mpsc::channel(MAILBOX_CAPACITY);
+    /// Creates the handle of a backend whose actor has not started.
+    pub fn new(backend: BackendId, addr: SocketAddr, shared: Arc<UpstreamShared>) -> BackendHandle {
         let closed = Arc::new(AtomicBool::new(false));
-        let dialer = Dialer { addr, backend_closed: closed.clone(), shared };
-        tokio::spawn(BackendActor::new(backend.clone(), dialer).run(mailbox));
-        BackendHandle { id: backend, addr, commands, closed }
+        let mailbox = Arc::new(LazyMailbox { shared, commands: OnceLock::new() });
+        BackendHandle { id: backend, addr, closed, mailbox }
+    }
+
+    fn start_actor(&self) -> mpsc::Sender<BackendCommand> {
+        let (commands, mailbox) = mpsc::channel(MAILBOX_CAPACITY);
+        let (backend_closed, shared) = (self.closed.clone(), self.mailbox.shared.clone());
+        let dialer = Dialer { addr: self.addr, backend_closed, shared };
+        tokio::spawn(BackendActor::new(self.id.clone(), dialer).run(mailbox));
+        commands
     }
 
     /// Prevents the backend from receiving any further request; partly written requests continue.
@@ -61,9 +74,10 @@
         self.closed.store(true, Relaxed);
     }
 
-    /// Puts a command into the actor's mailbox without waiting. Returns false if the mailbox is full.
+    /// Puts a command into the actor's mailbox without waiting, and starts the actor if it has not started. Returns false if the mailbox is full.
     pub fn send(&self, command: BackendCommand) -> bool {
-        self.commands.try_send(command).is_ok()
+        let commands = self.mailbox.commands.get_or_init(|| self.start_actor());
+        commands.try_send(command).is_ok()
     }
 }
 
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -219,7 +219,7 @@
     let (served, listener_task) = abortable(serve_script(listener, event_sender));
     tokio::spawn(served);
     let (shared, mailbox) = upstream_shared();
-    let handle = BackendHandle::start("s-1".into(), addr, shared);
+    let handle = BackendHandle::new("s-1".into(), addr, shared);
     ScriptedBackend { handle, events, mailbox, listener_task }
 }
 
@@ -303,7 +303,7 @@
 async fn bytes_received_before_a_request_are_not_its_response() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (shared, mut mailbox) = upstream_shared();
-    let handle = BackendHandle::start("s-1".into(), listener.local_addr().unwrap(), shared);
+    let handle = BackendHandle::new("s-1".into(), listener.local_addr().unwrap(), shared);
     let mut streams = Vec::new();
     for (number, body) in [b"ok", b"no"].into_iter().enumerate() {
         handle.send(BackendCommand::Attempt(attempt(Serve, number as u32, LONG_TIMEOUT)));
@@ -343,7 +343,7 @@
 async fn health_check_reports_load() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (shared, mut mailbox) = upstream_shared();
-    let handle = BackendHandle::start("s-1".into(), listener.local_addr().unwrap(), shared);
+    let handle = BackendHandle::new("s-1".into(), listener.local_addr().unwrap(), shared);
     let started_at = Instant::now();
     handle.send(BackendCommand::Probe { started_at, deadline: started_at + LONG_TIMEOUT });
     let (mut stream, _) = listener.accept().await.unwrap();
@@ -365,7 +365,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (shared, mut mailbox) = upstream_shared();
     let all = shared.sockets.clone().acquire_many_owned(8).await.unwrap();
-    let handle = BackendHandle::start("s-1".into(), listener.local_addr().unwrap(), shared);
+    let handle = BackendHandle::new("s-1".into(), listener.local_addr().unwrap(), shared);
     handle.send(BackendCommand::Attempt(attempt(Serve, 0, LONG_TIMEOUT)));
     assert_eq!(ended_attempt(&mut mailbox).await.outcome, Outcome::NotSent, "no file descriptor is left");
     drop((all, listener));
@@ -379,7 +379,7 @@
 async fn timed_out_attempt_counts_as_fully_written() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (shared, mut mailbox) = upstream_shared();
-    let handle = BackendHandle::start("s-1".into(), listener.local_addr().unwrap(), shared.clone());
+    let handle = BackendHandle::new("s-1".into(), listener.local_addr().unwrap(), shared.clone());
     let written = || shared.stats.json()["upstream_requests"].as_u64().unwrap();
     let mut timeout = Duration::from_millis(50);
     loop {
--- a/src/net/upstream/tests/answer_begun.rs
+++ b/src/net/upstream/tests/answer_begun.rs
@@ -35,7 +35,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (shared, mailbox) = upstream_shared();
         let addr = listener.local_addr().unwrap();
-        let handle = BackendHandle::start("s-1".into(), addr, shared.clone());
+        let handle = BackendHandle::new("s-1".into(), addr, shared.clone());
         let mut backend = ManualBackend { handle, shared, mailbox, listener, stream: None };
         if connection_use == ConnectionUse::Reused {
             backend.start_attempt(attempt(Serve, 0, LONG_TIMEOUT));
