Count early drains, the longest list and turn, and requests begun on a draining backend

A batch of the control actor has at most 64 messages (256), so that a change of the endpoints waits behind fewer decisions.

--- a/src/net/control/actor.rs
+++ b/src/net/control/actor.rs
@@ -40,8 +40,8 @@
 use crate::net::runtime::metrics::COUNTERS;
 use crate::net::upstream::{BackendCommand, UpstreamShared};
 
-/// Maximum number of messages per batch, so that a flood of messages cannot delay timers.
-const MAX_BATCH: usize = 256;
+/// Maximum number of messages per batch, so that a flood of messages cannot delay timers or changes of the endpoints.
+const MAX_BATCH: usize = 64;
 
 /// Interval at which the backend counts are published without a change of the endpoints or cordons: backends also
 /// become outliers, or recover, in between.
@@ -185,6 +185,7 @@
                 () = sleep.as_mut(), if due.is_some() => {}
                 () = std::future::ready(()), if has_unsent => {}
             }
+            let turn_started_at = Instant::now();
             while let Ok(update) = endpoint_updates.try_recv() {
                 self.on_endpoints_update(update);
             }
@@ -194,6 +195,7 @@
             self.handle_unsent();
             messages.drain(..).for_each(|message| self.on_message(message));
             self.decide();
+            COUNTERS.turn_longest_us.raise_to(turn_started_at.elapsed().as_micros() as u64);
         }
     }
 
--- a/src/net/control/endpoint_table.rs
+++ b/src/net/control/endpoint_table.rs
@@ -7,6 +7,7 @@
 
 use crate::net::control::removed_backends::{Numbering, RemovedBackends};
 use crate::net::discovery::endpoints::{DrainNotice, EndpointEntry, EndpointsChange};
+use crate::net::runtime::metrics::COUNTERS;
 use crate::net::upstream::{BackendHandle, UpstreamShared};
 
 /// A backend that discovery lists, with its actor.
@@ -126,6 +127,7 @@
         }
         let drained: Vec<Endpoint> =
             notice.entries.into_iter().filter_map(|entry| self.drain(&entry.endpoint)).collect();
+        COUNTERS.list_early_drains.add(drained.len() as u64);
         self.event(drained)
     }
 
--- a/src/net/discovery/watch.rs
+++ b/src/net/discovery/watch.rs
@@ -282,7 +282,10 @@
             self.silence = now + SILENCE_TIMEOUT;
         }
         if !decoded.changes.is_empty() || !is_in_list {
-            self.list = None;
+            if let Some(list_end) = self.list.take() {
+                let duration = LIST_TIMEOUT.saturating_sub(list_end.saturating_duration_since(now));
+                COUNTERS.list_longest_ms.raise_to(duration.as_millis() as u64);
+            }
         }
         if is_in_list {
             self.list.get_or_insert(now + LIST_TIMEOUT);
--- a/src/net/runtime/metrics.rs
+++ b/src/net/runtime/metrics.rs
@@ -17,6 +17,11 @@
         self.add(1);
     }
 
+    /// Raises the counter to `n` if it is lower: it then holds the largest value seen.
+    pub fn raise_to(&self, n: u64) {
+        self.0.fetch_max(n, Relaxed);
+    }
+
     /// Returns the current count.
     #[cfg(test)]
     pub fn get(&self) -> u64 {
@@ -151,4 +156,13 @@
     /// Files of cordons that could not be read, and that could not be written.
     cordons_unreadable,
     cordons_unwritten,
+    /// Drains that took effect before their list was complete.
+    list_early_drains,
+    /// Longest time from the first part of a list to its end, in milliseconds.
+    list_longest_ms,
+    /// Longest turn of the control actor, in microseconds: no change of the endpoints takes effect meanwhile.
+    turn_longest_us,
+    /// Requests whose first byte was written to a backend that was known to be draining or gone. The guard in
+    /// `net/upstream` keeps this at 0.
+    drain_violations,
 }
--- a/src/net/upstream/counted_io.rs
+++ b/src/net/upstream/counted_io.rs
@@ -17,7 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 
-use super::exchange_progress::ExchangeProgress;
+use super::exchange_progress::{ExchangeProgress, ExchangeState};
+use crate::net::runtime::metrics::COUNTERS;
 use crate::net::runtime::socket_errors;
 
 /// A stream to a backend that records the bytes written and refuses to write requests that must not be sent.
@@ -41,6 +42,14 @@
         Ok(())
     }
 
+    /// Records bytes that the socket accepted, and counts a request that was begun although its backend was closed.
+    fn record_written(&self, bytes: &[u8]) {
+        if self.backend_closed.load(Relaxed) && self.progress.state() == ExchangeState::NothingWritten {
+            COUNTERS.drain_violations.increment();
+        }
+        self.progress.record_written(bytes);
+    }
+
     /// Fails if the socket holds unread bytes or the backend has closed the connection. Bytes received before a request
     /// is sent would otherwise be read as its response. The socket itself is checked because the runtime may not have
     /// noticed either yet.
@@ -72,7 +81,7 @@
         self.check_writable()?;
         let done = Pin::new(&mut self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = done {
-            self.progress.record_written(&buf[..count]);
+            self.record_written(&buf[..count]);
         }
         socket_errors::record_if_failed(self.addr, "write", done)
     }
@@ -87,7 +96,7 @@
         if let Poll::Ready(Ok(mut count)) = done {
             for buf in bufs {
                 let taken = count.min(buf.len());
-                self.progress.record_written(&buf[..taken]);
+                self.record_written(&buf[..taken]);
                 count -= taken;
             }
         }
--- a/tests/limiter/large_fleet.rs
+++ b/tests/limiter/large_fleet.rs
@@ -179,6 +179,8 @@
     }
     assert_eq!(limiter.counter("list_watches"), 1, "the watch that makes progress is kept");
     assert_eq!(limiter.counter("list_changes"), 1);
+    assert!(limiter.counter("list_early_drains") > 0);
+    assert_eq!(limiter.counter("drain_violations"), 0);
 }
 
 #[test]
