--- a/src/net/discovery/list_decoder.rs
+++ b/src/net/discovery/list_decoder.rs
@@ -104,8 +104,12 @@
         let mut decoded = Decoded::default();
         self.buffer.extend_from_slice(bytes);
         let mut start = 0;
-        for index in self.buffer.len() - bytes.len()..self.buffer.len() {
-            let byte = self.buffer[index];
+        let mut next = self.buffer.len() - bytes.len();
+        loop {
+            next += self.scanner.skip_entry_text(&self.buffer[next..]);
+            let Some(byte) = self.buffer.get(next).copied() else { break };
+            let index = next;
+            next += 1;
             match self.scanner.scan(byte)? {
                 Token::Heartbeat => {
                     decoded.has_progress = true;
--- a/src/net/discovery/list_scanner.rs
+++ b/src/net/discovery/list_scanner.rs
@@ -57,6 +57,22 @@
         self.depth > 0 || self.in_string
     }
 
+    /// Scans the bytes at the start of `bytes` that are inside an entry and have no meaning for its structure. Returns
+    /// their number.
+    pub(super) fn skip_entry_text(&mut self, bytes: &[u8]) -> usize {
+        if self.depth <= ENTRIES_DEPTH || !self.in_entry || self.is_escaped {
+            return 0;
+        }
+        let is_structural =
+            |byte: &u8| *byte <= b' ' || matches!(byte, b'"' | b'\\' | b'{' | b'}' | b'[' | b']');
+        let count = bytes.iter().position(is_structural).unwrap_or(bytes.len());
+        if count > 0 {
+            self.list_bytes += count;
+            self.is_line_blank = false;
+        }
+        count
+    }
+
     /// Scans the next byte.
     ///
     /// Fails if the list has a line break inside a string or contains an empty line, as heartbeats are. Valid lists
