Play long, slow and stalled lists and fleets of 10 to 16 limiters in the soak

Half of the runs now have 500 to 3,000 filler endpoints, in service or draining, whose lists are written at once, over 1 s or over 4.5 s; one slow list in four stalls in its middle, and resets may come within a list. A fifth of the runs have 10 to 16 limiters.

--- a/crates/rehearse/src/soak/checker/tests.rs
+++ b/crates/rehearse/src/soak/checker/tests.rs
@@ -27,6 +27,7 @@
         connect_timeout: ms(250),
         max_work: ms(60),
         classes,
+        lists: super::super::ListSettings::default(),
     }
 }
 
--- a/crates/rehearse/src/soak/deployment.rs
+++ b/crates/rehearse/src/soak/deployment.rs
@@ -21,6 +21,17 @@
 /// Possible maximum processing times of a request, in milliseconds. With the second, some attempts are given up only
 /// after the shortest idempotency window has passed.
 const MAX_WORK_MS: [u64; 2] = [60, 250];
+/// Possible times over which discovery writes an endpoint list, in milliseconds: below and above the 3 s after which a
+/// silent watch is dead.
+const LIST_DURATIONS_MS: [u64; 3] = [0, 1_000, 4_500];
+/// Number of filler endpoints, if there are any.
+const FILLERS: std::ops::RangeInclusive<usize> = 500..=3_000;
+/// Number of limiters of a large fleet.
+const LARGE_FLEET: std::ops::RangeInclusive<usize> = 10..=16;
+/// Probability that a fleet is large.
+const LARGE_FLEET_PROBABILITY: f64 = 0.2;
+/// Probability that an endpoint list has filler endpoints.
+const FILLERS_PROBABILITY: f64 = 0.5;
 /// Latency objective as a fraction of the deadline.
 const LATENCY_OBJECTIVE_SHARE: f64 = 0.8;
 
@@ -79,6 +90,19 @@
     pub max_work: Duration,
     /// The request classes.
     pub classes: Vec<ClassSettings>,
+    /// The endpoint lists that discovery writes.
+    pub lists: ListSettings,
+}
+
+/// How long endpoint lists are, and how slowly discovery writes them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ListSettings {
+    /// Number of endpoints that make the list longer. They all stand for one backend.
+    pub fillers: usize,
+    /// Whether the fillers are in service; otherwise they are draining.
+    pub fillers_in_service: bool,
+    /// Time over which a list is written.
+    pub duration: Duration,
 }
 
 impl Deployment {
@@ -104,15 +128,25 @@
         let connect_timeout =
             Duration::from_millis(*CONNECT_TIMEOUTS_MS.choose(&mut rng).expect("the times are not empty"));
         let has_idle_clients = rng.random_bool(0.25);
-        Deployment {
-            limiters: rng.random_range(1..=3),
+        let limiters = rng.random_range(1..=3);
+        let mut deployment = Deployment {
+            limiters,
             backends: rng.random_range(2..=5),
             clients: rng.random_range(6..=18),
             idle_clients: if has_idle_clients { SOCKETS as usize / 2 } else { 0 },
             connect_timeout,
             max_work: Duration::from_millis(*MAX_WORK_MS.choose(&mut rng).expect("the times are not empty")),
             classes,
+            lists: ListSettings::default(),
+        };
+        if rng.random_bool(LARGE_FLEET_PROBABILITY) {
+            deployment.limiters = rng.random_range(LARGE_FLEET);
+            deployment.clients = deployment.clients.max(deployment.limiters);
+        }
+        if rng.random_bool(FILLERS_PROBABILITY) {
+            deployment.lists = ListSettings::draw(&mut rng);
         }
+        deployment
     }
 
     /// Returns the longest deadline of all classes.
@@ -144,6 +178,17 @@
     }
 }
 
+impl ListSettings {
+    fn draw(rng: &mut StdRng) -> ListSettings {
+        let duration_ms = *LIST_DURATIONS_MS.choose(rng).expect("the times are not empty");
+        ListSettings {
+            fillers: rng.random_range(FILLERS),
+            fillers_in_service: rng.random_bool(0.5),
+            duration: Duration::from_millis(duration_ms),
+        }
+    }
+}
+
 /// Returns a class's entry in the configuration file.
 fn profile(class: &ClassSettings) -> Value {
     let (repeat, scope, window) = match class.idempotency {
--- a/crates/rehearse/src/soak/mod.rs
+++ b/crates/rehearse/src/soak/mod.rs
@@ -15,6 +15,6 @@
 mod run;
 
 pub use checker::{check, CheckContext, Finding, Rule, StopTimes};
-pub use deployment::{ClassSettings, Deployment, Idempotency};
+pub use deployment::{ClassSettings, Deployment, Idempotency, ListSettings};
 pub use records::{AttemptEnd, AttemptRecord, ClientEnd, DrainNotice, Records, RequestRecord};
 pub use run::{soak, SoakOptions, SoakReport};
--- a/crates/rehearse/src/soak/run.rs
+++ b/crates/rehearse/src/soak/run.rs
@@ -131,7 +131,7 @@
             Backends::new(records.clone(), deployment.max_work, StdRng::seed_from_u64(rng.random()));
         let mut run = Run {
             options: options.clone(),
-            discovery: Discovery::new(records.clone()),
+            discovery: Discovery::new(records.clone(), deployment.lists),
             deployment,
             records,
             rng,
@@ -146,6 +146,12 @@
         for _ in 0..run.deployment.backends {
             run.add_backend(Duration::ZERO).await?;
         }
+        if run.deployment.lists.fillers > 0 {
+            let filler = run.next_backend;
+            run.next_backend += 1;
+            let address = run.backends.start(filler, Duration::ZERO).await?;
+            run.discovery.set_filler(filler, address);
+        }
         for limiter in 0..run.deployment.limiters {
             run.start_limiter(limiter).await?;
         }
