--- a/src/net/control/actor.rs
+++ b/src/net/control/actor.rs
@@ -4,90 +4,44 @@
 //! It never waits for another actor: it puts commands into mailboxes without waiting, and handles a full mailbox like
 //! any other failure to send.
 
+mod action_execution;
+mod parts;
+mod status;
+mod version_updates;
+
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::Duration;
 
-use sedgestack::{
-    Action, AttemptResult, BackendId, CounterName, Event, Limiter, Micros, Outcome, Request, RequestId,
-    VersionIndices,
-};
+pub use parts::{ControlActorParts, VersionSettings};
+use sedgestack::{AttemptResult, BackendId, Event, Limiter, Micros, Outcome, RequestId};
 use sedgestack_capture::Outcome as CapturedOutcome;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
-use crate::info;
 use crate::net::admin::stats::AdminStats;
 use crate::net::canary::OutcomeRecorder;
-use crate::net::capture::CaptureRecorder;
 use crate::net::control::capture_records::{CaptureRecords, CapturedAnswer, CapturedRequest};
 use crate::net::control::endpoint_table::EndpointTable;
 use crate::net::control::message::{
-    AcceptedRequest, ActiveVersions, AttemptOutcome, ConfigVersion, ControlCommand, CounterReply, Message,
-    Reply, VersionedReply,
+    AcceptedRequest, AttemptOutcome, ControlCommand, CounterReply, Message, Reply,
 };
-use crate::net::control::request_table::{AttemptOrder, OpenRequest, RequestTable, RequestVersion};
+use crate::net::control::request_table::{OpenRequest, RequestTable};
 use crate::net::control::timers::TimerQueue;
-use crate::net::control::versions::{
-    ActiveVersion, ScheduledVersion, UnknownVersionPolicy, Version, VersionUpdate,
-};
+use crate::net::control::versions::ActiveVersion;
 use crate::net::discovery::endpoints::EndpointsUpdate;
 use crate::net::peers::OutgoingDatagram;
 use crate::net::quota_counter::CounterCall;
 use crate::net::runtime::clock::Clock;
-use crate::net::runtime::log;
 use crate::net::runtime::metrics::COUNTERS;
-use crate::net::upstream::{BackendCommand, UpstreamShared};
 
 /// Maximum number of messages per batch, so that a flood of messages cannot delay timers or changes of the endpoints.
 const MAX_BATCH: usize = 64;
 
-/// Interval at which the backend counts are published without a change of the endpoints or cordons: backends also
-/// become outliers, or recover, in between.
-const BACKEND_COUNTS_INTERVAL: Micros = 250_000;
-
-/// Minimum interval between two publications of the backend counts, which are taken over all backends.
-const MIN_BACKEND_COUNTS_INTERVAL: Micros = 20_000;
-
 /// How long a new process waits to hear from discovery before it is ready: until a call that is not answered is late.
 const DISCOVERY_WAIT: Micros = 1_000_000;
 
-/// Minimum interval between two removals of unused classes and plans of old versions.
-const RETIRE_VERSIONS_INTERVAL: Micros = 1_000_000;
-
-/// Time after which a client should retry while the active version is unknown, which is one or two heartbeats.
-const UNKNOWN_VERSION_RETRY_AFTER: Micros = 500_000;
-
-/// What the limiter does while the active version is unknown.
-#[derive(Clone, Copy)]
-pub struct VersionSettings {
-    pub policy: UnknownVersionPolicy,
-    /// Time for which requests are rejected before `policy` applies.
-    pub wait: Micros,
-}
-
-/// The dependencies and settings of the control actor.
-pub struct ControlActorParts {
-    pub clock: Clock,
-    pub upstream: Arc<UpstreamShared>,
-    pub max_open_requests: usize,
-    pub max_attempts: u32,
-    pub counter: Option<mpsc::Sender<CounterCall>>,
-    pub counter_timeout: Duration,
-    pub peers: Option<mpsc::Sender<OutgoingDatagram>>,
-    pub capture: Option<CaptureRecorder>,
-    /// Readiness flag that the actor maintains: whether requests can be decided.
-    pub ready: Arc<AtomicBool>,
-    pub stats: Arc<AdminStats>,
-    /// Backends that were cordoned before this process started.
-    pub cordoned: BTreeSet<BackendId>,
-    /// Present if the limiters agree on versions of the runtime configuration.
-    pub versions: Option<VersionSettings>,
-    /// Counts outcomes for the canary analysis, if there is one.
-    pub outcomes: Option<OutcomeRecorder>,
-}
-
 /// The control actor. It alone modifies this state.
 pub struct ControlActor {
     limiter: Limiter,
@@ -256,50 +210,6 @@
         self.events.extend(events);
     }
 
-    /// Applies a report of the consensus actor. The classes and plans of a scheduled version are adopted before it
-    /// becomes active.
-    fn on_versions_changed(&mut self, versions: ActiveVersions) {
-        let current = self.adopt_version(versions.current);
-        let scheduled = versions.scheduled.and_then(|next| {
-            let version = self.adopt_version(next.version)?;
-            Some(ScheduledVersion { activates_at: next.activates_at, version })
-        });
-        let (Some(current), Some(settings)) = (current, self.version_settings) else { return };
-        let update = VersionUpdate { current, scheduled, valid_until: versions.valid_until };
-        self.retire_versions(&update);
-        match &mut self.active_version {
-            Some(active) => active.update(update),
-            None => self.active_version = Some(ActiveVersion::new(update, settings.policy, settings.wait)),
-        }
-    }
-
-    fn adopt_version(&mut self, version: ConfigVersion) -> Option<Version> {
-        // Documents are validated before the replicas vote on them. Adopting one fails only if this limiter was started
-        // with other classes and plans than the others.
-        let adopted = self.limiter.adopt_version(&version.classes, &version.plans);
-        let indices =
-            adopted.map_err(|e| info!("rules: version {} cannot be adopted: {e}", version.number)).ok()?;
-        Some(Version {
-            number: version.number,
-            latency_objectives: version.classes.iter().map(|class| class.latency_objective).collect(),
-            indices: Arc::new(indices),
-            deadlines: version.deadlines.into(),
-            max_retry_after: version.max_retry_after,
-        })
-    }
-
-    /// Removes the classes and plans of versions that `update` does not name.
-    fn retire_versions(&mut self, update: &VersionUpdate) {
-        let now = self.clock.now();
-        if now < self.versions_retired_at + RETIRE_VERSIONS_INTERVAL {
-            return;
-        }
-        self.versions_retired_at = now;
-        let scheduled = update.scheduled.iter().map(|next| &*next.version.indices);
-        let in_use: Vec<&VersionIndices> = scheduled.chain([&*update.current.indices]).collect();
-        self.limiter.retire_versions(&in_use);
-    }
-
     fn on_message(&mut self, message: Message) {
         match message {
             Message::Accepted(accepted) => self.on_request_accepted(accepted),
@@ -325,9 +235,10 @@
         if self.version_settings.is_some() {
             let now = self.clock.now();
             let Some(version) = self.active_version.as_mut().and_then(|active| active.active_at(now)) else {
-                return reject_without_version(reply);
+                return version_updates::reject_without_version(reply);
             };
-            request_version = Some(request_version_of(version, &request, arrival.arrived_at));
+            request_version =
+                Some(version_updates::request_version_of(version, &request, arrival.arrived_at));
             let max_wait = Duration::from_micros(version.max_wait(request.class));
             deadline = deadline.min(arrival.arrived_at + max_wait);
             version.apply_to(&mut request);
@@ -420,96 +331,6 @@
         self.publish_backend_counts(now);
     }
 
-    /// Updates the readiness flag. Without versions, the limiter becomes ready once a backend is in service and then
-    /// stays ready. With versions, it is ready while a backend is in service and the active version is known.
-    ///
-    /// A new process first waits for discovery, because the endpoints in its configuration may be draining or gone by
-    /// now.
-    fn update_readiness(&mut self, now: Micros) {
-        let has_versions = self.version_settings.is_some();
-        if !has_versions && self.ready.load(Relaxed) {
-            return;
-        }
-        let version = self.active_version.as_mut().and_then(|active| active.active_at(now));
-        let version = version.map(|version| version.number);
-        if let Some(version) = version {
-            self.stats.set_active_version(version);
-            log::set_active_version(version);
-        }
-        let is_version_known = !has_versions || version.is_some();
-        let has_waited = self.has_heard_from_discovery || now >= self.discovery_wait_end;
-        self.ready.store(has_waited && is_version_known && self.endpoints.has_backend_in_service(), Relaxed);
-    }
-
-    fn publish_backend_counts(&mut self, now: Micros) {
-        let interval =
-            if self.backend_counts_changed { MIN_BACKEND_COUNTS_INTERVAL } else { BACKEND_COUNTS_INTERVAL };
-        let due = self.backend_counts_published_at + interval;
-        if now < due {
-            if self.backend_counts_changed && self.backend_counts_scheduled_for != due {
-                self.backend_counts_scheduled_for = due;
-                self.timers.schedule(due);
-            }
-            return;
-        }
-        self.backend_counts_changed = false;
-        self.backend_counts_published_at = now;
-        let counts = self.limiter.backend_counts();
-        self.stats.set_backend_counts(counts.listed, counts.avoided);
-    }
-
-    fn execute(&mut self, now: Micros, action: Action) {
-        match action {
-            Action::StartAttempt { request, backend, timeout, write_within } => {
-                let started_at = self.clock.instant(now);
-                let after = |span: Micros| started_at + Duration::from_micros(span);
-                let (deadline, write_deadline) = (timeout.map(after), write_within.map(after));
-                self.start_attempt(AttemptOrder { request, started_at, deadline, write_deadline }, &backend);
-            }
-            Action::CancelAttempt { request, attempt } => self.requests.cancel_attempt(request, attempt),
-            Action::Reject { request, retry_after } => self.reply(request, Reply::Rejected { retry_after }),
-            Action::Fail { request } => self.reply(request, Reply::Failed),
-            Action::CallCounter { name, amount, time_to_live } => {
-                self.call_counter(now, name, amount, time_to_live);
-            }
-            Action::HealthCheck { backend } => self.check_health(&backend),
-            // The discovery actor watches the endpoints from the start and reconnects by itself.
-            Action::Subscribe => {}
-            Action::SendToPeers { bytes } => self.send_to_peers(bytes),
-            Action::SetTimer { after } => self.timers.schedule(now + after),
-            Action::Log { text } => info!("module: {text}"),
-        }
-    }
-
-    fn start_attempt(&mut self, order: AttemptOrder, backend: &BackendId) {
-        let handle = self.endpoints.handle(backend).cloned();
-        let unsent = self.requests.start_attempt(order, handle);
-        self.unsent_attempts.extend(unsent);
-    }
-
-    fn call_counter(&mut self, now: Micros, name: CounterName, amount: f64, time_to_live: Micros) {
-        COUNTERS.counter_calls.increment();
-        let deadline = self.clock.instant(now) + self.counter_timeout;
-        let call = CounterCall { name, amount, lifetime: time_to_live, deadline };
-        if self.counter.as_ref().is_none_or(|counter| counter.try_send(call).is_err()) {
-            let reply = CounterReply { name, outcome: Outcome::ConnectFailed, total: None };
-            self.unsent_counter_calls.push(reply);
-        }
-    }
-
-    fn check_health(&self, backend: &BackendId) {
-        if let Some(handle) = self.endpoints.handle(backend) {
-            let started_at = Instant::now();
-            handle.send(BackendCommand::Probe { started_at, deadline: started_at + self.connect_timeout });
-        }
-    }
-
-    fn send_to_peers(&self, bytes: Vec<u8>) {
-        if let Some(peers) = &self.peers {
-            let _ = peers.try_send(OutgoingDatagram::Broadcast(bytes));
-        }
-    }
-
     /// Sends the final reply to a request that was rejected or has failed.
     fn reply(&mut self, id: RequestId, reply: Reply) {
         let Some(version) = self.requests.get(id).map(|open| open.version) else { return };
@@ -531,10 +352,6 @@
         self.requests.remove_if_finished(id);
     }
 
-    fn version_number_of(&self, id: RequestId) -> Option<u64> {
-        self.requests.get(id)?.version.map(|version| version.number)
-    }
-
     /// Records for the canary analysis and the capture how an open request ended. `attempt` is the attempt that served
     /// it, if one did.
     fn record_answer(&mut self, id: RequestId, outcome: CapturedOutcome, attempt: Option<usize>) {
@@ -555,19 +372,3 @@
         self.capture.record(captured, answer);
     }
 }
-
-fn request_version_of(version: &Version, request: &Request, arrived_at: Instant) -> RequestVersion {
-    RequestVersion {
-        number: version.number,
-        max_retry_after: version.max_retry_after,
-        plan: request.plan,
-        latency_objective: Duration::from_micros(version.latency_objective(request.class)),
-        arrived_at,
-    }
-}
-
-fn reject_without_version(reply: oneshot::Sender<VersionedReply>) {
-    COUNTERS.rules_unknown.increment();
-    COUNTERS.rejections.increment();
-    let _ = reply.send((Reply::Rejected { retry_after: UNKNOWN_VERSION_RETRY_AFTER }, None));
-}
