--- a/crates/rehearse/src/soak/deployment.rs
+++ b/crates/rehearse/src/soak/deployment.rs
@@ -23,7 +23,7 @@
 const MAX_WORK_MS: [u64; 2] = [60, 250];
 /// Possible times over which discovery writes an endpoint list, in milliseconds: below and above the 3 s after which a
 /// silent watch is dead.
-const LIST_DURATIONS_MS: [u64; 3] = [0, 1_000, 4_500];
+const LIST_DURATIONS_MS: [u64; 4] = [0, 1_000, 4_500, 4_500];
 /// Number of filler endpoints, if there are any.
 const FILLERS: std::ops::RangeInclusive<usize> = 500..=3_000;
 /// Number of limiters of a large fleet.
@@ -32,6 +32,8 @@
 const LARGE_FLEET_PROBABILITY: f64 = 0.2;
 /// Probability that an endpoint list has filler endpoints.
 const FILLERS_PROBABILITY: f64 = 0.5;
+/// Probability that filler endpoints are in service and take most of the attempts.
+const FILLERS_IN_SERVICE_PROBABILITY: f64 = 0.25;
 /// Latency objective as a fraction of the deadline.
 const LATENCY_OBJECTIVE_SHARE: f64 = 0.8;
 
@@ -183,7 +185,7 @@
         let duration_ms = *LIST_DURATIONS_MS.choose(rng).expect("the times are not empty");
         ListSettings {
             fillers: rng.random_range(FILLERS),
-            fillers_in_service: rng.random_bool(0.5),
+            fillers_in_service: rng.random_bool(FILLERS_IN_SERVICE_PROBABILITY),
             duration: Duration::from_millis(duration_ms),
         }
     }
