--- a/review/standins.rs
+++ b/review/standins.rs
@@ -213,6 +213,10 @@
     pub known: Vec<String>,
     /// The settings object, as JSON.
     pub settings: String,
+    /// Further keys of the configuration, as JSON, each with a comma behind it.
+    pub further: String,
+    /// The text of the project's own settings file, if there is one.
+    pub own_settings: Option<String>,
 }
 
 impl LimiterConfig {
@@ -220,7 +224,8 @@
         format!(
             r#"{{"name":"n{n}","listen":"{listen}","discovery":"{discovery}","counter":"{counter}",
 "seed":"8c1f30d27a5be96{n}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
-"known":{{"version":1,"full":true,"servers":[{known}]}},"settings":{settings}}}"#,
+{further}"known":{{"version":1,"full":true,"servers":[{known}]}},"settings":{settings}}}"#,
+            further = self.further,
             n = self.number,
             listen = self.listen,
             discovery = self.discovery,
@@ -238,16 +243,36 @@
 }
 
 impl Limiter {
-    /// Starts the program with the command of the deploy file, from the repository's root, and waits until it is ready.
+    /// Starts the program, and waits until it is ready.
     pub fn start(root: &Path, folder: &Path, config: &LimiterConfig) -> Limiter {
+        let mut limiter = Limiter::spawn(root, folder, config);
+        let give_up_at = Instant::now() + Duration::from_secs(30);
+        while !limiter.is_ready() {
+            if Instant::now() > give_up_at || !limiter.is_running() {
+                cannot_run("the limiter does not become ready");
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        limiter
+    }
+
+    /// Starts the program with the command of the deploy file, from the repository's root.
+    pub fn spawn(root: &Path, folder: &Path, config: &LimiterConfig) -> Limiter {
         let own = folder.join(format!("n{}", config.number));
         let tmp = own.join("tmp");
         fs::create_dir_all(&tmp).expect("the temporary folder can be written");
         let file = own.join("config.json");
         fs::write(&file, config.json()).expect("the temporary folder can be written");
-        let log = File::create(own.join("log.txt")).expect("the temporary folder can be written");
+        let log = File::options().create(true).append(true).open(own.join("log.txt"));
+        let log = log.expect("the temporary folder can be written");
+        let mut command = run_command(root);
+        if let Some(text) = &config.own_settings {
+            let file = own.join("settings.hcl");
+            fs::write(&file, text).expect("the temporary folder can be written");
+            command = format!("{command} --settings '{}'", file.display());
+        }
         let child = Command::new("/bin/sh")
-            .args(["-c", &run_command(root)])
+            .args(["-c", &command])
             .current_dir(root)
             .env("LB_CONFIG", &file)
             .env("LB_NAME", format!("n{}", config.number))
@@ -259,18 +284,11 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("the limiter does not start: {e}")));
-        let mut limiter = Limiter { address: config.listen, child };
-        let give_up_at = Instant::now() + Duration::from_secs(30);
-        while !limiter.is_ready() {
-            if Instant::now() > give_up_at || !limiter.is_running() {
-                cannot_run("the limiter does not become ready");
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        limiter
+        PROCESSES.lock().unwrap().push(child.id());
+        Limiter { address: config.listen, child }
     }
 
-    fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
         let asked = stream.write_all(b"GET /ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n");
@@ -281,16 +299,131 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Sends SIGTERM and waits until the process has ended.
+    pub fn stop(&mut self) {
+        self.signal("TERM");
+        let _ = self.child.wait();
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
         assert!(sent.is_ok_and(|status| status.success()), "the signal can be sent");
     }
 }
 
+/// A call to an operators' address. Returns the status and the body; `None` if there is no answer.
+pub fn call_admin(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    let length = if method == "PUT" { format!("Content-Length: {}\r\n", body.len()) } else { String::new() };
+    write!(stream, "{method} /admin/{path} HTTP/1.1\r\nHost: ops.local\r\n{length}\r\n{body}").ok()?;
+    let answer = read_message(&mut BufReader::new(stream))?;
+    Some((answer.status(), String::from_utf8_lossy(&answer.body).into_owned()))
+}
+
+/// A JSON value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Json {
+    Null,
+    Bool(bool),
+    Number(f64),
+    Text(String),
+    List(Vec<Json>),
+    Object(Vec<(String, Json)>),
+}
+
+impl Json {
+    pub fn parse(text: &str) -> Option<Json> {
+        Json::value(&mut text.chars().peekable())
+    }
+
+    /// Returns the value of a key of an object.
+    pub fn get(&self, key: &str) -> &Json {
+        match self {
+            Json::Object(pairs) => pairs.iter().find(|(k, _)| k == key).map_or(&Json::Null, |(_, v)| v),
+            _ => &Json::Null,
+        }
+    }
+
+    pub fn text(&self) -> &str {
+        if let Json::Text(text) = self { text } else { "" }
+    }
+
+    pub fn number(&self) -> f64 {
+        if let Json::Number(number) = self { *number } else { -1.0 }
+    }
+
+    pub fn list(&self) -> &[Json] {
+        if let Json::List(list) = self { list } else { &[] }
+    }
+
+    fn value(chars: &mut std::iter::Peekable<std::str::Chars<'_>>) -> Option<Json> {
+        while chars.next_if(|c| c.is_whitespace()).is_some() {}
+        match *chars.peek()? {
+            '{' => {
+                let mut pairs = Vec::new();
+                chars.next();
+                loop {
+                    while chars.next_if(|c| c.is_whitespace() || *c == ',').is_some() {}
+                    if chars.next_if_eq(&'}').is_some() {
+                        return Some(Json::Object(pairs));
+                    }
+                    let key = Json::value(chars)?.text().to_string();
+                    while chars.next_if(|c| c.is_whitespace() || *c == ':').is_some() {}
+                    pairs.push((key, Json::value(chars)?));
+                }
+            }
+            '[' => {
+                let mut list = Vec::new();
+                chars.next();
+                loop {
+                    while chars.next_if(|c| c.is_whitespace() || *c == ',').is_some() {}
+                    if chars.next_if_eq(&']').is_some() {
+                        return Some(Json::List(list));
+                    }
+                    list.push(Json::value(chars)?);
+                }
+            }
+            '"' => {
+                let mut text = String::new();
+                chars.next();
+                loop {
+                    match chars.next()? {
+                        '"' => return Some(Json::Text(text)),
+                        '\\' => match chars.next()? {
+                            'n' => text.push('\n'),
+                            't' => text.push('\t'),
+                            'u' => {
+                                let hex: String = (0..4).filter_map(|_| chars.next()).collect();
+                                text.push(char::from_u32(u32::from_str_radix(&hex, 16).ok()?)?);
+                            }
+                            other => text.push(other),
+                        },
+                        other => text.push(other),
+                    }
+                }
+            }
+            _ => {
+                let mut word = String::new();
+                while let Some(c) = chars.next_if(|c| !c.is_whitespace() && !",]}".contains(*c)) {
+                    word.push(c);
+                }
+                Some(match word.as_str() {
+                    "true" => Json::Bool(true),
+                    "false" => Json::Bool(false),
+                    "null" => Json::Null,
+                    number => Json::Number(number.parse().ok()?),
+                })
+            }
+        }
+    }
+}
+
 impl Drop for Limiter {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        PROCESSES.lock().unwrap().retain(|process| *process != self.child.id());
     }
 }
 
@@ -303,8 +436,15 @@
     command.map(str::to_string).unwrap_or_else(|| cannot_run("deploy/balancer.toml has no run"))
 }
 
+/// The processes that were started and not ended yet.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, and the case with status 2.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    for process in PROCESSES.lock().unwrap().iter() {
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {process}")]).status();
+    }
     std::process::exit(2);
 }
 
