--- a/review/9/undo.rs
+++ b/review/7/undo.rs
@@ -1,4 +1,4 @@
-//! Case 9: an undo that is begun at a limiter which was down for two changes takes both of them back.
+//! Case 7: an undo that is begun at a limiter which was down for two changes takes both of them back.
 
 #[path = "../rig.rs"]
 mod rig;
@@ -14,7 +14,7 @@
 }
 
 fn main() {
-    let case = Case::new(9);
+    let case = Case::new(7);
     let server = Server::start("s-1", &case.record, None);
     let discovery = Discovery::start(vec![server.entry("Ready")]);
     let setup = Setup {
