review: the scripts exit with 2 on what they don't foresee, and end the kit too

A panic of a stand-in ended a script with 101, which is none of the three statuses; the kit of case 10 could outlive a script that ran out of time. Both now go through one end, which ends every process and removes the folder.

Forced once each: a panic and a missing binary gave 2; after a kill of case 10's script no process was left.

--- a/review/rig.rs
+++ b/review/rig.rs
@@ -80,6 +80,12 @@
 impl Case {
     /// `number` is the case's folder under `review/`. Call it from the root of the repository.
     pub fn new(number: u32) -> Case {
+        // What a script doesn't foresee is no verdict: it could not run.
+        let report = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |panic| {
+            report(panic);
+            finish(NOT_RUN);
+        }));
         let root = std::env::current_dir().expect("a working directory");
         let record = Record::new(&root.join(format!("review/{number}/record.txt")));
         let directory = std::env::temp_dir().join(format!("review-{number}-{}", std::process::id()));
@@ -87,13 +93,13 @@
         let deploy = fs::read_to_string(root.join("deploy/balancer.toml")).expect("deploy/balancer.toml");
         let line = deploy.lines().find(|line| line.starts_with("run ")).expect("the run line");
         let run = line.split('"').nth(1).expect("a quoted command").to_string();
+        *FOLDER.lock().unwrap() = Some(directory.clone());
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         // Whatever happens, the case ends within its time: the script exits with 2 then.
         thread::spawn(|| {
             thread::sleep(Duration::from_secs(115));
             eprintln!("the case took too long");
-            end_all();
-            std::process::exit(NOT_RUN);
+            finish(NOT_RUN);
         });
         record.line(format!("run command: {run}; disruption: {trouble}"));
         Case { record, root, directory, trouble, run }
@@ -101,9 +107,7 @@
 
     pub fn end(&self, status: i32, text: &str) -> ! {
         self.record.say(format!("exit {status}: {text}"));
-        end_all();
-        let _ = fs::remove_dir_all(&self.directory);
-        std::process::exit(status)
+        finish(status)
     }
 
     /// Ends the case as one that could not run, unless `condition` holds.
@@ -115,10 +119,34 @@
 }
 
 static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+/// Ends what the case started, removes its temporary folder and exits.
+fn finish(status: i32) -> ! {
+    end_all();
+    if let Some(folder) = FOLDER.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take() {
+        let _ = fs::remove_dir_all(folder);
+    }
+    std::process::exit(status)
+}
+
+/// Starts a process that doesn't outlive the case, however the case ends.
+pub fn spawn(command: &mut Command) -> Child {
+    // SAFETY: `prctl` with this option takes an integer and touches no memory of the process.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+    let child = command.spawn().expect("the process starts");
+    STARTED.lock().unwrap().push(child.id() as i32);
+    child
+}
 
 /// Ends every process that the case started and that has not been waited for.
 fn end_all() {
-    for pid in STARTED.lock().unwrap().drain(..) {
+    for pid in STARTED.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
         signal_pid(pid, SIGKILL);
     }
 }
@@ -525,26 +553,16 @@
         let log = File::options().create(true).append(true).open(limiter.folder.join("log.txt")).unwrap();
         let command =
             format!("{} --settings {}", self.command, limiter.folder.join("settings.hcl").display());
-        let mut started = Command::new("/bin/sh");
-        // SAFETY: `prctl` with this option takes an integer and touches no memory of the process. No limiter outlives
-        // the case, however the case ends.
-        unsafe {
-            started.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            });
-        }
-        let child = started
-            .args(["-c", &command])
-            .current_dir(&self.root)
-            .env("LB_CONFIG", limiter.folder.join("config.json"))
-            .env("TMPDIR", limiter.folder.join("tmp"))
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("the limiter starts");
-        STARTED.lock().unwrap().push(child.id() as i32);
+        let child = spawn(
+            Command::new("/bin/sh")
+                .args(["-c", &command])
+                .current_dir(&self.root)
+                .env("LB_CONFIG", limiter.folder.join("config.json"))
+                .env("TMPDIR", limiter.folder.join("tmp"))
+                .stdin(Stdio::null())
+                .stdout(Stdio::null())
+                .stderr(log),
+        );
         self.record.line(format!("n{number}: process started"));
         limiter.child = Some(child);
     }
