Learn the document before the active version from peers after missed versions

Cause: the consensus actor took the document that it had served until an activation for the one before the new version. A limiter that missed versions served an older one, and nothing that limiters exchange names a predecessor.

Change: the replica keeps the digest of the previous document with the version it belongs to. A limiter that gets a version without the one before it asks its peers, and only a peer that knows the answer for that version replies. An undo is proposed by digest and rejected with 409 until a peer has answered. The automatic rollback takes the same digest.

Recorded datagrams and stores are unchanged; two kinds of datagram are added.

--- a/crates/consensus/src/document_transfer.rs
+++ b/crates/consensus/src/document_transfer.rs
@@ -80,12 +80,23 @@
         digests
     }
 
+    /// Drops all documents except those in use and the one that an undo returns to, which the caller stores itself.
+    pub(crate) fn drop_unused_documents(&mut self) {
+        let mut digests = self.documents_in_use();
+        digests.extend(self.previous.digest());
+        self.documents.retain(&digests);
+    }
+
     /// Returns the documents that are needed but missing. The decided version's document comes first, because the one
-    /// that a vote needs may have been lost with its proposer.
+    /// that a vote needs may have been lost with its proposer. The one that an undo returns to comes last.
     fn missing_documents(&self) -> impl Iterator<Item = Digest> + '_ {
         let decided = self.learner.value().active_document();
         let needed = self.transfer.needed.map(|needed| needed.digest);
-        decided.into_iter().chain(needed).filter(|digest| !self.documents.has(digest))
+        decided
+            .into_iter()
+            .chain(needed)
+            .chain(self.previous.digest())
+            .filter(|digest| !self.documents.has(digest))
     }
 
     /// Records that a vote requested by `source` needs a document, and requests the document from there.
@@ -100,7 +111,7 @@
     }
 
     /// Requests a document from a peer, starting at a randomly chosen missing chunk.
-    fn request_document(&mut self, to: ReplicaId, digest: Digest) {
+    pub(crate) fn request_document(&mut self, to: ReplicaId, digest: Digest) {
         if !self.transfer.start_request(&digest, self.now, self.settings.heartbeat_interval) {
             return;
         }
@@ -130,7 +141,7 @@
     }
 
     /// Returns a random peer, or `None` in a group of one.
-    fn random_peer(&mut self) -> Option<ReplicaId> {
+    pub(crate) fn random_peer(&mut self) -> Option<ReplicaId> {
         let peers = u64::from(self.settings.replicas - 1);
         if peers == 0 {
             return None;
--- a/crates/consensus/src/event.rs
+++ b/crates/consensus/src/event.rs
@@ -25,6 +25,13 @@
         /// The active document; `None` before the first change.
         digest: Option<Digest>,
     },
+    /// A peer told this replica, which had missed versions, what an undo of the active version returns to.
+    PreviousDocumentLearned {
+        /// The version.
+        slot: Slot,
+        /// The document that an undo returns to, if there is one.
+        digest: Option<Digest>,
+    },
     /// A change proposed by this replica was not decided; another change was, or none.
     ProposalLost {
         /// The version that the change was proposed for.
--- a/crates/consensus/src/learner.rs
+++ b/crates/consensus/src/learner.rs
@@ -141,6 +141,6 @@
             slot: self.learner.active(),
             digest: self.learner.active_document(),
         });
-        self.documents.retain(&self.documents_in_use());
+        self.drop_unused_documents();
     }
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `voting`, `proposals`, `learner`: the replica in each Paxos role, across all slots;
 //! - `heartbeat`, `peers`, `lease`: the state that replicas exchange every round, and how long it remains valid;
 //! - `documents`, `document_transfer`: storage of configuration documents, and their transfer in chunks;
+//! - `previous_document`: the document that an undo returns to, and its recovery after missed versions;
 //! - `message`, `snapshot`: the wire format and the format on disk.
 #![forbid(unsafe_code)]
 
@@ -26,6 +27,7 @@
 mod message;
 mod paxos;
 mod peers;
+mod previous_document;
 mod proposals;
 mod random;
 mod replica;
@@ -41,6 +43,7 @@
     datagram_kind, decode_datagram, encode_datagram, CONSENSUS_MAGIC, FORMAT_VERSION, MAX_DATAGRAM_BYTES,
 };
 pub use paxos::{Ballot, Value};
+pub use previous_document::PreviousDocument;
 pub use replica::{OutgoingDatagram, Replica};
 pub use settings::Settings;
 pub use snapshot::Snapshot;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -112,6 +112,11 @@
     DocumentRequest { digest: Digest, first_chunk: u8 },
     /// A chunk of a document.
     DocumentChunk(DocumentChunk),
+    /// Asks which document preceded the active version `slot`, of a replica that missed the versions before it.
+    PreviousDocumentRequest { slot: Slot },
+    /// Answers [`Body::PreviousDocumentRequest`]: the document before version `slot` that had other values; `None` if
+    /// there is none.
+    PreviousDocument { slot: Slot, digest: Option<Digest> },
 }
 
 /// A datagram's contents.
@@ -175,6 +180,8 @@
         Body::Rejected { .. } => "passed",
         Body::DocumentRequest { .. } => "want",
         Body::DocumentChunk(_) => "piece",
+        Body::PreviousDocumentRequest { .. } => "want-previous",
+        Body::PreviousDocument { .. } => "previous",
     })
 }
 
--- a/crates/consensus/src/message/tests.rs
+++ b/crates/consensus/src/message/tests.rs
@@ -74,11 +74,18 @@
     bodies.map(|(name, body)| (name, message(body)))
 }
 
-fn documents() -> [(&'static str, Message); 2] {
+fn documents() -> [(&'static str, Message); 4] {
     let request = Body::DocumentRequest { digest: SECOND_DOCUMENT, first_chunk: 200 };
     let chunk =
         DocumentChunk { digest: SECOND_DOCUMENT, index: 1, total: 2, bytes: b"rate = 7.2\n".to_vec() };
-    [("want", message(request)), ("piece", message(Body::DocumentChunk(chunk)))]
+    let previous_request = Body::PreviousDocumentRequest { slot: 18 };
+    let previous = Body::PreviousDocument { slot: 18, digest: Some(FIRST_DOCUMENT) };
+    [
+        ("want", message(request)),
+        ("piece", message(Body::DocumentChunk(chunk))),
+        ("want-previous", message(previous_request)),
+        ("previous", message(previous)),
+    ]
 }
 
 #[test]
--- a/crates/consensus/src/proposals.rs
+++ b/crates/consensus/src/proposals.rs
@@ -176,26 +176,37 @@
         parent: Slot,
         required: BTreeSet<ReplicaId>,
     ) -> Result<Slot, ProposeError> {
+        if document.len() > MAX_DOCUMENT_BYTES {
+            return Err(ProposeError::DocumentTooLong(document.len()));
+        }
         self.advance_clock(now);
-        self.check_proposal(&document, parent, &required)?;
-        let slot = self.learner.open_slot();
+        self.check_proposal(parent, &required)?;
         let digest = self.documents.insert(document);
+        Ok(self.start_change(digest, required))
+    }
+
+    /// Proposes the change back to the document before the active version `parent`. The document may still be in
+    /// transfer: peers that have it can vote for it.
+    ///
+    /// # Errors
+    /// If this replica cannot propose the change now.
+    pub fn propose_undo(&mut self, now: Micros, digest: Digest, parent: Slot) -> Result<Slot, ProposeError> {
+        self.advance_clock(now);
+        self.check_proposal(parent, &BTreeSet::new())?;
+        Ok(self.start_change(digest, BTreeSet::new()))
+    }
+
+    /// Starts the vote on the change to a document. Returns the version that the change becomes if it is decided.
+    fn start_change(&mut self, digest: Digest, required: BTreeSet<ReplicaId>) -> Slot {
+        let slot = self.learner.open_slot();
         self.proposals.local = Some(LocalProposal { slot, digest });
         let change = Value::Change { digest, at: self.now + self.settings.activation_delay };
         self.start_ballot(change, required);
-        Ok(slot)
+        slot
     }
 
     /// Checks whether this replica can propose a change now.
-    fn check_proposal(
-        &self,
-        document: &[u8],
-        parent: Slot,
-        required: &BTreeSet<ReplicaId>,
-    ) -> Result<(), ProposeError> {
-        if document.len() > MAX_DOCUMENT_BYTES {
-            return Err(ProposeError::DocumentTooLong(document.len()));
-        }
+    fn check_proposal(&self, parent: Slot, required: &BTreeSet<ReplicaId>) -> Result<(), ProposeError> {
         if self.status != ReplicaStatus::Current {
             return Err(ProposeError::NotCurrent);
         }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -11,6 +11,7 @@
 use crate::message::{Body, Message};
 use crate::paxos::Value;
 use crate::peers::Peers;
+use crate::previous_document::PreviousOfVersion;
 use crate::proposals::Proposals;
 use crate::random::Random;
 use crate::settings::Settings;
@@ -47,6 +48,7 @@
     /// Peers whose latest datagram was sent in the future of this replica's clock.
     pub(crate) peers_ahead: BTreeSet<ReplicaId>,
     pub(crate) transfer: DocumentTransfer,
+    pub(crate) previous: PreviousOfVersion,
     pub(crate) status: ReplicaStatus,
     outgoing: Vec<OutgoingDatagram>,
     pub(crate) events: Vec<ReplicaEvent>,
@@ -77,6 +79,7 @@
             learner: Learner::new(),
             peers_ahead: BTreeSet::new(),
             transfer: DocumentTransfer::default(),
+            previous: PreviousOfVersion::none(),
             status: ReplicaStatus::Detached,
             outgoing: Vec::new(),
             events: Vec::new(),
@@ -178,6 +181,8 @@
                 self.handle_document_request(from, digest, first_chunk);
             }
             Body::DocumentChunk(chunk) => self.handle_document_chunk(chunk),
+            Body::PreviousDocumentRequest { slot } => self.handle_previous_document_request(from, slot),
+            Body::PreviousDocument { slot, digest } => self.handle_previous_document(from, slot, digest),
         }
         Ok(())
     }
@@ -210,6 +215,7 @@
     fn run_round(&mut self) {
         self.advance_ballot();
         self.request_missing_document();
+        self.request_previous_document();
         self.send_heartbeats();
     }
 
--- a/crates/consensus/src/replica/tests.rs
+++ b/crates/consensus/src/replica/tests.rs
@@ -3,12 +3,17 @@
 use super::*;
 use crate::message::Heartbeat;
 use crate::paxos::Ballot;
+use crate::previous_document::PreviousDocument;
 
 const ROUND: Micros = 250_000;
 
 fn replica() -> Replica {
+    replica_numbered(0)
+}
+
+fn replica_numbered(number: ReplicaId) -> Replica {
     let settings = Settings {
-        replica: 0,
+        replica: number,
         replicas: 3,
         heartbeat_interval: ROUND,
         fanout: 2,
@@ -96,3 +101,49 @@
     assert_eq!(replica.decided(), (1, void));
     assert_eq!(replica.peers.last_idle_times().collect::<Vec<_>>(), [now, now + 1]);
 }
+
+/// Guards against an undo that takes back too much: the document that a limiter served before it missed versions is
+/// not the one before the active version. Peers that served all versions know that one.
+#[test]
+fn replica_that_missed_versions_learns_the_previous_document_from_a_peer() {
+    let (mut behind, mut peer, now) = (replica(), replica_numbered(1), 10 * ROUND);
+    behind.replace_previous_document(1, b"served long ago".to_vec());
+    peer.replace_previous_document(3, b"before version 3".to_vec());
+    let digest = Digest::of(b"before version 3");
+    behind.recover_previous_document(3);
+    assert_eq!(behind.previous_document(), PreviousDocument::Missed);
+    // Datagrams to replica 2, which is down, are lost.
+    for round in 0..20 {
+        let now = now + round * ROUND;
+        for datagram in behind.tick(now).iter().filter(|datagram| datagram.to == 1) {
+            peer.receive(now, &datagram.bytes).expect("the datagram is valid");
+        }
+        for datagram in peer.tick(now).iter().filter(|datagram| datagram.to == 0) {
+            behind.receive(now, &datagram.bytes).expect("the datagram is valid");
+        }
+    }
+    assert_eq!(behind.previous_document(), PreviousDocument::Digest(digest));
+    assert_eq!(behind.document(&digest), Some(&b"before version 3"[..]), "the document is fetched as well");
+    let learned = ReplicaEvent::PreviousDocumentLearned { slot: 3, digest: Some(digest) };
+    assert_eq!(behind.take_events().iter().filter(|event| **event == learned).count(), 1);
+}
+
+/// A peer that has missed versions itself, or knows the document before another version, must not answer.
+#[test]
+fn previous_document_is_told_only_by_a_peer_that_knows_it_for_that_version() {
+    let (mut replica, now) = (replica(), 10 * ROUND);
+    let answers = |replica: &mut Replica, slot| {
+        receive(replica, now, 1, Body::PreviousDocumentRequest { slot });
+        let bodies: Vec<Body> =
+            replica.tick(now).iter().map(|o| Message::decode(&o.bytes).expect("sent").body).collect();
+        bodies.into_iter().filter(|body| matches!(body, Body::PreviousDocument { .. })).collect::<Vec<_>>()
+    };
+    replica.replace_previous_document(2, b"before version 2".to_vec());
+    assert_eq!(answers(&mut replica, 3), []);
+    let digest = Some(Digest::of(b"before version 2"));
+    assert_eq!(answers(&mut replica, 2), [Body::PreviousDocument { slot: 2, digest }]);
+    replica.keep_previous_document(3);
+    assert_eq!(answers(&mut replica, 3), [Body::PreviousDocument { slot: 3, digest }]);
+    replica.recover_previous_document(5);
+    assert_eq!(answers(&mut replica, 5), []);
+}
--- a/src/net/consensus/actor.rs
+++ b/src/net/consensus/actor.rs
@@ -1,14 +1,14 @@
 //! The actor that runs the replica. It receives datagrams, operators' calls and outcome counts, and sends datagrams
 //! to peers and reports to the control actor.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sedgestack::Micros;
 use sedgestack_canary::OUTCOME_SUMS_MAGIC;
 use sedgestack_consensus::{
-    DatagramError, Digest, Replica, ReplicaEvent, ReplicaId, Settings, SettingsError, Slot, Value,
-    VersionLease,
+    DatagramError, Digest, PreviousDocument, Replica, ReplicaEvent, ReplicaId, Settings, SettingsError, Slot,
+    Value, VersionLease,
 };
 use sedgestack_hcl::ConfigError;
 use sedgestack_runtime_config::{changed_plans, Document};
@@ -79,8 +79,6 @@
     pub(super) history: History,
     /// The active document.
     pub(super) served_document: Document,
-    /// The latest document before the active one that had other values.
-    pub(super) previous: Option<Document>,
     /// The version that was served last. Only a change that is based on it can be analyzed.
     served_version: Slot,
     pub(super) proposal: Option<Proposal>,
@@ -104,9 +102,11 @@
         let settings = parts.settings;
         let snapshot = parts.stored.as_ref().and_then(StoredState::snapshot);
         let replica_settings = replica_settings(&settings, own, replicas);
-        let replica = Replica::new(replica_settings, parts.seed, snapshot, replicas == 1)?;
-        let (history, previous) =
-            parts.stored.map_or((History::default(), None), |state| (state.history, state.previous));
+        let mut replica = Replica::new(replica_settings, parts.seed, snapshot, replicas == 1)?;
+        let history = parts.stored.map_or_else(History::default, |state| {
+            restore_previous(&mut replica, state.previous, state.is_previous_missed);
+            state.history
+        });
         let canary = settings.canary.clone().map(|canary| CanaryMonitor::new(canary, own, replicas));
         let mut actor = ConsensusActor {
             served_version: replica.active_version().0,
@@ -117,7 +117,6 @@
             configured: parts.configured,
             staged: BTreeMap::new(),
             history,
-            previous: previous.and_then(|text| Document::parse("store", &text).ok()),
             proposal: None,
             store: parts.store,
             intake: DatagramIntake::new(settings.max_datagrams_per_second),
@@ -218,8 +217,7 @@
             self.on_replica_event(event);
         }
         // Datagrams may contain votes. They are sent only if the state that they depend on has been stored.
-        let previous = self.previous.as_ref().map(|document| document.text.as_str());
-        if !self.store.save(&self.replica, &self.history, previous) {
+        if !self.store.save(&self.replica, &self.history) {
             return;
         }
         for datagram in datagrams {
@@ -235,6 +233,10 @@
     fn on_replica_event(&mut self, event: ReplicaEvent) {
         match event {
             ReplicaEvent::DocumentReceived { digest } => info!("tier: received document {digest}"),
+            ReplicaEvent::PreviousDocumentLearned { slot, digest } => {
+                let digest = digest.map_or("none".into(), |digest| digest.to_string());
+                info!("tier: learned the document before version {slot}, whose predecessors were missed: {digest}");
+            }
             ReplicaEvent::Decided { slot, value } => self.on_decided(slot, value),
             ReplicaEvent::Activated { slot, digest } => self.on_activated(slot, digest),
             ReplicaEvent::ProposalLost { slot } => info!("tier: version {slot}, proposed here, was not made"),
@@ -257,6 +259,9 @@
             .map(|document| (document.provenance.author, document.provenance.reason))
             .unwrap_or_default();
         info!("tier: version {slot} is decided: {value:?}");
+        if self.has_missed_versions_before(slot) {
+            self.replica.recover_previous_document(slot);
+        }
         self.history.push(HistoryEntry {
             version: slot,
             digest: digest.map_or("configuration".into(), |digest| digest.to_string()),
@@ -273,23 +278,40 @@
 
     fn on_activated(&mut self, slot: Slot, digest: Option<Digest>) {
         info!("tier: version {slot} is active");
+        let mut replaced = None;
         if digest.is_some_and(|digest| digest != self.served_document.digest()) {
             if let Some(document) = self.active_document() {
-                self.serve(slot, document);
+                replaced = self.serve(slot, document);
             }
         }
+        self.update_previous_document(slot, replaced);
         self.served_version = slot;
     }
 
-    /// Serves under another document from now on.
-    fn serve(&mut self, slot: Slot, document: Document) {
+    /// Whether this limiter did not serve the version before `slot`.
+    fn has_missed_versions_before(&self, slot: Slot) -> bool {
+        slot != self.served_version + 1
+    }
+
+    /// Updates what an undo of version `slot` returns to. `replaced` is the document that was served until now, if its
+    /// values differ. It is the one before version `slot` only if no version was missed.
+    fn update_previous_document(&mut self, slot: Slot, replaced: Option<Document>) {
+        if self.has_missed_versions_before(slot) {
+            self.replica.recover_previous_document(slot);
+        } else if let Some(document) = replaced {
+            self.replica.replace_previous_document(slot, document.text.into_bytes());
+        } else {
+            self.replica.keep_previous_document(slot);
+        }
+    }
+
+    /// Serves under another document from now on. Returns the former document if its values differ: a hold or a pin has
+    /// the same values, so it is not a change that an undo could revert.
+    fn serve(&mut self, slot: Slot, document: Document) -> Option<Document> {
         let has_same_values = self.served_document.has_same_values(&document);
         self.analyze_change(slot, &document, has_same_values);
         let previous = std::mem::replace(&mut self.served_document, document);
-        // A hold or a pin has the same values, so it is not a change that an undo could revert.
-        if !has_same_values {
-            self.previous = Some(previous);
-        }
+        (!has_same_values).then_some(previous)
     }
 
     /// Reports a newly active document to the canary analysis, and starts its analysis if the document asks for that.
@@ -321,8 +343,8 @@
         // another limiter proposes the rollback too, both propose the same next version, and one of them is made.
         let is_active = |rollback: &Rollback| rollback.digest == self.served_document.digest();
         let Some(Rollback { drop, .. }) = rollback.filter(is_active) else { return };
-        let Some(previous) = self.previous.clone() else { return };
-        if self.propose(previous, BTreeSet::new()).is_ok() {
+        let PreviousDocument::Digest(previous) = self.replica.previous_document() else { return };
+        if self.propose_undo(previous).is_ok() {
             COUNTERS.undone.increment();
             info!("tier: service fell by {drop:.3} compared with the other plans; rolling the change back automatically");
             self.advance();
@@ -371,6 +393,16 @@
     }
 }
 
+/// Restores what an undo returns to, from the state that was stored before this start.
+fn restore_previous(replica: &mut Replica, text: Option<String>, is_missed: bool) {
+    let (active, _) = replica.active_version();
+    match text {
+        _ if is_missed => replica.recover_previous_document(active),
+        Some(text) => replica.replace_previous_document(active, text.into_bytes()),
+        None => replica.keep_previous_document(active),
+    }
+}
+
 fn replica_settings(settings: &TierSettings, own: ReplicaId, replicas: ReplicaId) -> Settings {
     Settings {
         replica: own,
--- a/src/net/consensus/operator_calls.rs
+++ b/src/net/consensus/operator_calls.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use sedgestack_consensus::{Digest, ReplicaId, Slot, MAX_DOCUMENT_BYTES};
+use sedgestack::Micros;
+use sedgestack_consensus::{Digest, PreviousDocument, ProposeError, ReplicaId, Slot, MAX_DOCUMENT_BYTES};
 use sedgestack_runtime_config::{differences, Document};
 use serde::Serialize;
 use serde_json::{json, Value};
@@ -203,9 +204,21 @@
     }
 
     fn undo(&mut self) -> CallResult {
-        let no_previous = || CallError::conflict("there is no version before the active one");
-        let previous = self.previous.clone().ok_or_else(no_previous)?;
-        self.propose(previous, BTreeSet::new())
+        match self.replica.previous_document() {
+            PreviousDocument::Digest(digest) => self.propose_undo(digest),
+            PreviousDocument::None => Err(CallError::conflict("there is no version before the active one")),
+            PreviousDocument::Missed => Err(CallError::conflict(
+                "this limiter missed versions and has not learned yet what was active before: call undo again, or at \
+                 another limiter",
+            )),
+        }
+    }
+
+    /// Proposes the change back to the document before the active version.
+    pub(super) fn propose_undo(&mut self, digest: Digest) -> CallResult {
+        let (now, (parent, _)) = (self.now(), self.replica.active_version());
+        let proposed = self.replica.propose_undo(now, digest, parent);
+        self.on_proposed(now, proposed, digest)
     }
 
     fn adopt(&mut self) -> CallResult {
@@ -220,10 +233,20 @@
     }
 
     /// Proposes a document as the next version. The proposal is abandoned if a replica of `required` does not answer.
-    pub(super) fn propose(&mut self, document: Document, required: BTreeSet<ReplicaId>) -> CallResult {
+    fn propose(&mut self, document: Document, required: BTreeSet<ReplicaId>) -> CallResult {
         let (now, (parent, _)) = (self.now(), self.replica.active_version());
         let digest = document.digest();
         let proposed = self.replica.propose_requiring(now, document.text.into_bytes(), parent, required);
+        self.on_proposed(now, proposed, digest)
+    }
+
+    /// Records a proposal that was made at `now`, if it was started, and returns its version.
+    fn on_proposed(
+        &mut self,
+        now: Micros,
+        proposed: Result<Slot, ProposeError>,
+        digest: Digest,
+    ) -> CallResult {
         let version = proposed.map_err(CallError::conflict)?;
         self.staged.remove(&digest);
         let outcome = ProposalOutcome::Open;
--- a/src/net/consensus/store.rs
+++ b/src/net/consensus/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sedgestack::Micros;
-use sedgestack_consensus::{Replica, Slot, Snapshot};
+use sedgestack_consensus::{PreviousDocument, Replica, Slot, Snapshot};
 use sedgestack_store::{Store, StoreError};
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, Instant};
@@ -60,6 +60,9 @@
     /// The text of the document that an undo returns to.
     #[serde(rename = "before")]
     pub previous: Option<String>,
+    /// Whether the limiter missed versions and does not have that document yet.
+    #[serde(rename = "before_missed", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_previous_missed: bool,
 }
 
 impl StoredState {
@@ -95,16 +98,18 @@
     }
 
     /// Stores the state if it has changed. Returns false if it can't be stored.
-    pub fn save(&mut self, replica: &Replica, history: &History, previous: Option<&str>) -> bool {
+    pub fn save(&mut self, replica: &Replica, history: &History) -> bool {
         let Some(store) = &self.store else { return true };
         let snapshot = replica.snapshot().encode();
         if snapshot == self.saved_snapshot && !self.has_unsaved_events {
             return true;
         }
+        let previous = previous_text(replica);
         let state = StoredState {
             snapshot: snapshot.clone(),
             history: history.clone(),
-            previous: previous.map(str::to_string),
+            is_previous_missed: previous.is_none() && replica.previous_document() != PreviousDocument::None,
+            previous,
         };
         let bytes = serde_json::to_vec(&state).expect("the state can be expressed as JSON");
         if let Err(e) = store.save(&bytes) {
@@ -118,6 +123,13 @@
     }
 }
 
+/// Returns the text of the document that an undo returns to, unless it is unknown or still in transfer.
+fn previous_text(replica: &Replica) -> Option<String> {
+    let PreviousDocument::Digest(digest) = replica.previous_document() else { return None };
+    let bytes = replica.document(&digest)?;
+    Some(String::from_utf8_lossy(bytes).into_owned())
+}
+
 /// Opens the store that the settings name for the limiter `name`, and reads its state. A file that can't be used is
 /// set aside, logged and counted.
 ///
--- a/tests/fleet_rules/crashes.rs
+++ b/tests/fleet_rules/crashes.rs
@@ -170,3 +170,25 @@
     expect_version(&tier, &[2], version);
     expect_consistent(&tier);
 }
+
+/// Guards against an undo that takes back more than the active version: a limiter that was down for two changes took
+/// the document that it had served before them for the one before the active version.
+#[test]
+fn undo_at_a_limiter_that_missed_two_changes_takes_back_only_the_last() {
+    let tier = start_tier(3);
+    tier.kill(2);
+    for (version, rate) in [(1, 6.5), (2, 6.0)] {
+        assert_eq!(begin_rate_change(&tier, 0, rate, ""), version);
+        expect_version(&tier, &[0, 1], version);
+    }
+    tier.restart(2, StoreState::Intact).expect("the limiter starts");
+    expect_version(&tier, &[2], 2);
+    tier.expect_eventually("all are current", || tier.all_limiters(|s| s["standing"] == "current"));
+    tier.expect_eventually("an undo that is accepted", || {
+        tier.call(2, "PUT", "rules/undo", "").is_some_and(|response| response.status == 200)
+    });
+    expect_version(&tier, &[0, 1, 2], 3);
+    expect_consistent(&tier);
+    let status = tier.status(2).expect("the limiter answers");
+    assert!(status["text"].as_str().expect("text").contains("rate  = 6.5"), "{status}");
+}
