Close connections that came in an ended drain when the next drain begins

Cause: IdleClose fixes at the accept that such a connection closes only at a stop, and relies on the Connection: close of its answer, which is set only while the drain lasts.

Change: a connection that has had a response closes with any drain. Related path: answers to /ready on the client's address close their connection in a drain as well.

--- a/src/net/listener/connection.rs
+++ b/src/net/listener/connection.rs
@@ -53,7 +53,7 @@
 ) {
     socket_errors::disable_nagle(&stream, "front");
     let downstream = Downstream::new(stream);
-    let idle_close = IdleClose::new(phase);
+    let idle_close = IdleClose::new(phase, entry.clone());
     let client = ClientConnection { entry: entry.clone(), downstream: downstream.clone() };
     let was_refused = AtomicBool::new(false);
     let ended = {
@@ -102,7 +102,8 @@
 /// Decides when a shutdown closes an idle connection.
 struct IdleClose {
     phase: watch::Receiver<Phase>,
-    /// The phase of the process at which the connection closes.
+    entry: Arc<ConnectionEntry>,
+    /// The phase of the process at which the connection closes before it has had a response.
     closing_phase: Phase,
     /// Time before which the connection does not close.
     earliest_close: Instant,
@@ -110,21 +111,26 @@
 
 impl IdleClose {
     /// Returns the rule for a connection that is accepted now.
-    fn new(phase: watch::Receiver<Phase>) -> IdleClose {
+    fn new(phase: watch::Receiver<Phase>, entry: Arc<ConnectionEntry>) -> IdleClose {
         let earliest_close = Instant::now() + FIRST_REQUEST_TIMEOUT;
         let closing_phase = match *phase.borrow() {
             Phase::Serving => Phase::Quiesced,
             Phase::Quiesced => Phase::Stopping,
             Phase::Stopping | Phase::Closing => Phase::Closing,
         };
-        IdleClose { phase, closing_phase, earliest_close }
+        IdleClose { phase, entry, closing_phase, earliest_close }
     }
 
     /// Waits until the connection must close if it is idle. Waiting for `earliest_close` protects a request on its
     /// way: closing the connection before its first byte is read would lose the request. After the wait, its response
     /// closes the connection.
+    ///
+    /// A connection that was accepted during a drain is served once, and that response closes it. If the drain ended
+    /// before the response, the connection stayed open and closes with the next drain.
     async fn wait_until_due(&mut self) {
-        let _ = self.phase.wait_for(|p| *p >= self.closing_phase).await;
+        let IdleClose { phase, entry, closing_phase, .. } = self;
+        let is_due = |p: &Phase| *p >= *closing_phase || (*p != Phase::Serving && entry.has_responded());
+        let _ = phase.wait_for(is_due).await;
         sleep_until(self.earliest_close).await;
     }
 }
--- a/src/net/listener/connections.rs
+++ b/src/net/listener/connections.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Whether a response has begun on the connection.
+    pub(super) fn has_responded(&self) -> bool {
+        self.connections.table().open.get(&self.id).is_some_and(|e| e.has_responded)
+    }
+
     /// Whether part of a further request has arrived on a connection that has had a response.
     pub(super) fn has_partial_request(&self) -> bool {
         let table = self.connections.table();
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -54,13 +54,10 @@
         .with_state(Arc::new(listener))
 }
 
-async fn readiness_status(State(listener): State<Arc<Listener>>) -> StatusCode {
+async fn readiness_status(State(listener): State<Arc<Listener>>) -> Response {
     let is_ready = listener.is_ready.load(Relaxed) && *listener.phase.borrow() == Phase::Serving;
-    if is_ready {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    }
+    let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    listener.close_unless_serving(status.into_response())
 }
 
 async fn handle_request(State(listener): State<Arc<Listener>>, request: axum::extract::Request) -> Response {
@@ -134,12 +131,8 @@
         reply: reply_receiver,
         respond_by: deadline - LOST_REPLY_MARGIN.min(head.timeout),
     };
-    let mut response = handed_over.await_response(listener, connection.as_ref()).await;
-    // During a graceful shutdown, each connection closes with the response that its client waits for.
-    if *listener.phase.borrow() != Phase::Serving {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
+    let response = handed_over.await_response(listener, connection.as_ref()).await;
+    listener.close_unless_serving(response)
 }
 
 /// Returns what is forwarded unchanged to a backend.
@@ -162,6 +155,14 @@
 }
 
 impl Listener {
+    /// Returns the response, which closes its connection during a drain or a graceful shutdown.
+    fn close_unless_serving(&self, mut response: Response) -> Response {
+        if *self.phase.borrow() != Phase::Serving {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
     /// Builds the message that passes a request to the control actor.
     fn accept(
         &self,
--- a/tests/limiter/shutdown.rs
+++ b/tests/limiter/shutdown.rs
@@ -131,3 +131,52 @@
     assert!(client.read_answer().is_some(), "the late request was not answered");
     assert!(signaled_at.elapsed() < EARLIEST_KILL, "answered {:?} after SIGTERM", signaled_at.elapsed());
 }
+
+/// Time after the call for a drain within which idle connections must be closed, from the operators' pages.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Starts a limiter with an address for admin calls, at a backend that holds its answers back.
+fn start_for_drains() -> (Limiter, Backend, std::sync::mpsc::Sender<()>) {
+    let (backend, release) = Backend::holding_answers();
+    let (discovery, _push) = discovery();
+    let (counter, _) = quota_counter(true);
+    let mut config = config(discovery, counter, vec![backend.entry("s-1", "Ready")]);
+    config["ops"] = serde_json::json!("127.0.0.1:0");
+    let limiter = Limiter::start(&config);
+    limiter.wait_until_ready();
+    (limiter, backend, release)
+}
+
+fn set_draining(limiter: &Limiter, call: &str) {
+    assert_eq!(limiter.call_admin("PUT", call).status(), 200);
+}
+
+/// Guards against a drain that leaves connections open: a connection that came in a drain and was answered after its end
+/// used to stay open in the next drain.
+#[test]
+fn connection_accepted_in_an_ended_drain_closes_in_the_next_one() {
+    let (limiter, backend, release) = start_for_drains();
+    set_draining(&limiter, "quiesce");
+    let mut client = limiter.connect();
+    client.write(&get_request("large", 1));
+    backend.wait_for_request();
+    set_draining(&limiter, "resume");
+    release.send(()).expect("the backend waits");
+    let answer = client.read_answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    set_draining(&limiter, "quiesce");
+    let called_at = Instant::now();
+    assert!(client.read_answer().is_none());
+    assert!(called_at.elapsed() < DRAIN_TIMEOUT, "closed after {:?}", called_at.elapsed());
+}
+
+/// Guards against a connection that stays open in a drain because only its health checks were answered.
+#[test]
+fn readiness_check_in_a_drain_closes_its_connection() {
+    let (limiter, _backend, _release) = start_for_drains();
+    set_draining(&limiter, "quiesce");
+    let mut client = limiter.connect();
+    let answer = client.request("GET /ready HTTP/1.1\r\n\r\n");
+    assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    assert!(client.read_answer().is_none());
+}
