Keep reading behind a request in flight, so that its client's end is always seen

Callers saw: a client that wrote more behind its request than the buffers hold and closed was not noticed; its request was sent on afterwards (abandoned=0).

Change: the connection is read all the time, 4 KiB are kept, the rest is discarded and the connection closes with the answer.

--- a/src/net/listener/connection.rs
+++ b/src/net/listener/connection.rs
@@ -69,7 +69,8 @@
         }
     };
     // Otherwise the client has disconnected, or its last response needs no further reading.
-    if was_refused.load(Relaxed) || ended.is_err_and(|e| e.is_parse()) {
+    let has_unread = was_refused.load(Relaxed) || downstream.has_discarded();
+    if has_unread || ended.is_err_and(|e| e.is_parse()) {
         entry.set_stage(Stage::Unfinished);
         entry.set_holds_memory(false);
         skip_unread(&downstream).await;
--- a/src/net/listener/downstream_io.rs
+++ b/src/net/listener/downstream_io.rs
@@ -8,16 +8,12 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
 
 use bytes::BytesMut;
-use futures_util::FutureExt;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::connection_table::Stage;
@@ -26,11 +22,9 @@
 use crate::net::runtime::memory_budget::{BytePool, HeadAllowance};
 use crate::net::runtime::socket_errors;
 
-/// Maximum number of bytes read ahead while a request is in flight.
+/// Maximum number of bytes read ahead while a request is in flight. Clients send one request at a time, so what goes
+/// beyond that is discarded and the connection closes after the response.
 const MAX_READ_AHEAD_BYTES: usize = 4 << 10;
-/// Interval between checks whether the client has disconnected when the read-ahead buffer is full. The platform
-/// allows 100 ms to notice it.
-const END_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The response to a client whose connection is closed because others wait for the memory that it holds.
 const EVICTED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -41,6 +35,8 @@
     stream: Mutex<TokioIo<TcpStream>>,
     read_ahead: Mutex<BytesMut>,
     gone: CancellationToken,
+    /// Whether bytes that followed a request were discarded.
+    has_discarded: AtomicBool,
     /// Whether the head of the current request was read, and its body is being read.
     is_reading_body: AtomicBool,
     /// Whether the current response is passed on while it arrives.
@@ -55,6 +51,7 @@
             stream,
             read_ahead: Mutex::default(),
             gone: CancellationToken::new(),
+            has_discarded: AtomicBool::new(false),
             is_reading_body: AtomicBool::new(false),
             is_streaming: AtomicBool::new(false),
         })
@@ -69,29 +66,35 @@
     }
 
     /// Waits until the client closes or resets the connection, and reads ahead meanwhile. No other task may read from
-    /// the connection at the same time. To bound memory, at most about `MAX_READ_AHEAD_BYTES` are read; after that,
-    /// the runtime is polled for whether it has seen the end.
+    /// the connection at the same time.
+    ///
+    /// To bound memory, at most `MAX_READ_AHEAD_BYTES` are kept. What follows is read all the same: the client's end
+    /// does not reach this machine while its receive buffer is full.
     pub(super) async fn wait_until_closed(&self) {
-        while self.read_ahead().len() < MAX_READ_AHEAD_BYTES {
+        loop {
             let mut bytes = [MaybeUninit::uninit(); 1024];
             let mut buffer = hyper::rt::ReadBuf::uninit(&mut bytes);
             let read = poll_fn(|cx| Pin::new(&mut *self.stream()).poll_read(cx, buffer.unfilled())).await;
             if read.is_err() || buffer.filled().is_empty() {
                 return self.gone.cancel();
             }
-            self.read_ahead().extend_from_slice(buffer.filled());
+            self.keep_or_discard(buffer.filled());
         }
-        while !self.is_read_closed() {
-            sleep(END_CHECK_INTERVAL).await;
+    }
+
+    fn keep_or_discard(&self, bytes: &[u8]) {
+        let mut read_ahead = self.read_ahead();
+        let is_discarding = self.has_discarded();
+        if is_discarding || read_ahead.len() + bytes.len() > MAX_READ_AHEAD_BYTES {
+            self.has_discarded.store(true, Relaxed);
+        } else {
+            read_ahead.extend_from_slice(bytes);
         }
-        self.gone.cancel();
     }
 
-    /// Whether the runtime has seen the client's end of the stream, even behind bytes that are not read yet.
-    fn is_read_closed(&self) -> bool {
-        let stream = self.stream();
-        let readiness = stream.inner().ready(Interest::READABLE).now_or_never();
-        readiness.is_some_and(|readiness| readiness.map_or(true, Ready::is_read_closed))
+    /// Whether bytes that followed a request were discarded, so that no further request can be read.
+    pub(super) fn has_discarded(&self) -> bool {
+        self.has_discarded.load(Relaxed)
     }
 
     /// Records that the head of a request was read and that its body follows.
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -133,7 +133,11 @@
         reply: reply_receiver,
         respond_by: deadline - LOST_REPLY_MARGIN.min(head.timeout),
     };
-    let response = handed_over.await_response(listener, connection.as_ref()).await;
+    let mut response = handed_over.await_response(listener, connection.as_ref()).await;
+    // No further request can be read on a connection from which bytes were discarded.
+    if connection.is_some_and(|connection| connection.downstream.has_discarded()) {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     listener.close_unless_serving(response)
 }
 
--- a/tests/limiter/client_leaves.rs
+++ b/tests/limiter/client_leaves.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// More bytes than the limiter reads ahead (16 KiB) lie between the request and the end of the client's connection. The
+/// More bytes than the limiter keeps (it once read 16 KiB ahead) lie between the request and the end of the client's connection. The
 /// limiter once missed the end behind 48 KiB and sent the request to a backend (abandoned=0).
 #[test]
 fn disconnect_behind_more_than_the_read_ahead_is_noticed() {
@@ -128,3 +128,41 @@
         expect_only_next_request(&limiter, &backend);
     }
 }
+
+/// So much follows the request that the limiter's receive buffer is full, and the end of the client's connection does not
+/// reach its machine. Guards against requests that are sent on although their client has gone.
+#[test]
+fn disconnect_behind_a_full_receive_buffer_is_noticed() {
+    /// More than the buffers of a connection hold on both sides.
+    const MAX_BYTES: usize = 64 << 20;
+    for disconnect in DISCONNECTS {
+        let backend = Backend::answering("a report");
+        let (config, push) = config_with_long_connect_timeout(vec![]);
+        let mut limiter = Limiter::start(&config);
+        let mut client = limiter.connect();
+        client.write(&get_request("large", 1));
+        limiter.wait_for_counters(|count| count("taken") == 1);
+        client.write_at_once(MAX_BYTES);
+        disconnect(client);
+        limiter.wait_for_counters(|count| count("abandoned") + count("rejections") + count("failed") == 1);
+        assert_eq!(limiter.counter("abandoned"), 1, "the disconnect was not noticed");
+        push.send(json!({"version": 2, "full": false, "servers": [backend.entry("s-1", "Ready")]})).unwrap();
+        limiter.wait_for_counters(|count| count("list_changes") == 1);
+        expect_only_next_request(&limiter, &backend);
+    }
+}
+
+/// A client whose further bytes were discarded must not get its next request answered with what follows them.
+#[test]
+fn connection_closes_after_the_answer_if_bytes_behind_the_request_were_discarded() {
+    let (backend, release) = Backend::holding_answers();
+    let (config, _push) = config_with_long_connect_timeout(vec![backend.entry("s-1", "Ready")]);
+    let limiter = Limiter::start(&config);
+    let mut client = limiter.connect();
+    client.write(&get_request("large", 1));
+    backend.wait_for_request();
+    client.write(&"x".repeat(1 << 20));
+    release.send(()).expect("the backend waits");
+    let answer = client.read_answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+}
--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -474,6 +474,19 @@
         self.reader.get_mut().write_all(text.as_bytes()).expect("the limiter reads");
     }
 
+    /// Writes as much as the buffers of the connection take at once, `most` bytes at most.
+    pub fn write_at_once(&mut self, most: usize) {
+        let stream = self.reader.get_mut();
+        stream.set_nonblocking(true).expect("a socket");
+        let part = [b'x'; 64 << 10];
+        let mut written = 0;
+        while written < most {
+            let Ok(count) = stream.write(&part) else { break };
+            written += count;
+        }
+        stream.set_nonblocking(false).expect("a socket");
+    }
+
     /// Writes `bytes` repeatedly until the limiter closes the connection.
     pub fn write_until_closed(&mut self, bytes: &[u8]) {
         while self.reader.get_mut().write_all(bytes).is_ok() {}
