Pass long request bodies on while they arrive, and count a client's time from its last byte

Change: the first 64 KiB are read and kept, the rest goes to the attempt that takes it through a window of two parts. There is no retry once more than the start was taken. Deadlines move by the time for which the client is awaited.

--- a/src/net/control/actor.rs
+++ b/src/net/control/actor.rs
@@ -243,7 +243,9 @@
             deadline = deadline.min(arrival.arrived_at + max_wait);
             version.apply_to(&mut request);
         }
-        request.timeout = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        // The client's time counts from the last byte of its request.
+        let latest = deadline + forward.body.max_client_wait();
+        request.timeout = latest.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let open = OpenRequest::new(forward, deadline, reply, request_version, capture_details);
         self.requests.insert(request.id, open);
         self.events.push(Event::Request(request));
--- a/src/net/control/message.rs
+++ b/src/net/control/message.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::net::listener::open_ids::OpenRequestId;
+use crate::net::request_body::RequestBody;
 use crate::net::streamed_body::StreamedBody;
 
 /// The parts of a client's request that are forwarded unchanged to a backend.
@@ -23,7 +24,7 @@
     pub id: OpenRequestId,
     /// The idempotency key.
     pub key: Option<HeaderValue>,
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Cancelled as soon as the client disconnects or the listener answers the request itself. Actors that hold the
     /// request see this at once, while a message could still wait in a mailbox, and start no further attempt.
     pub client_gone: CancellationToken,
--- a/src/net/control/request_table.rs
+++ b/src/net/control/request_table.rs
@@ -136,7 +136,7 @@
         let number = open.attempts.len() as u32;
         // The client may have disconnected even though the message about it is still in the mailbox.
         let has_client = open.is_unanswered() && !open.forward.client_gone.is_cancelled();
-        let may_send = has_client && number < self.max_attempts;
+        let may_send = has_client && number < self.max_attempts && open.forward.body.is_replayable();
         let handle = backend.filter(|_| may_send);
         let attempt = Attempt {
             request: order.request,
--- a/src/net/listener/connection.rs
+++ b/src/net/listener/connection.rs
@@ -23,6 +23,7 @@
 use super::downstream_io::{Downstream, DownstreamIo};
 use crate::net::runtime::memory_budget::BytePool;
 use crate::net::runtime::shutdown::Phase;
+use crate::net::streamed_body::MAX_BODY_BYTES;
 
 /// Maximum number of unread request bytes per connection, which bounds the memory of all downstream connections.
 const MAX_REQUEST_HEAD_BYTES: usize = 64 << 10;
@@ -30,6 +31,8 @@
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum number of bytes that are skipped after an error response, so that the client can read the response.
 const MAX_SKIPPED_BYTES: usize = 1 << 20;
+/// Maximum number of bytes that are skipped after a response that came before the end of its request.
+const MAX_SKIPPED_BODY_BYTES: usize = MAX_BODY_BYTES as usize;
 
 /// The connection that a request arrived on, as seen by the request handler.
 #[derive(Clone)]
@@ -73,7 +76,8 @@
     if has_unread || ended.is_err_and(|e| e.is_parse()) {
         entry.set_stage(Stage::Unfinished);
         entry.set_holds_memory(false);
-        skip_unread(&downstream).await;
+        let most = if downstream.has_discarded() { MAX_SKIPPED_BODY_BYTES } else { MAX_SKIPPED_BYTES };
+        skip_unread(&downstream, most).await;
     }
 }
 
@@ -191,10 +195,10 @@
 /// Reads and discards what a client still sends after an error response, so that the client can read the response:
 /// closing a socket with unread bytes resets it. Skipping is bounded by a number of bytes, and by the time limit of the
 /// connection's stage.
-async fn skip_unread(downstream: &Downstream) {
+async fn skip_unread(downstream: &Downstream, most: usize) {
     downstream.shutdown_write();
     let mut skipped = 0;
-    while skipped < MAX_SKIPPED_BYTES {
+    while skipped < most {
         match downstream.skip().await {
             0 => return,
             count => skipped += count,
--- a/src/net/listener/connection_table.rs
+++ b/src/net/listener/connection_table.rs
@@ -11,13 +11,12 @@
 use tokio::time::Instant;
 
 use super::downstream_io::Downstream;
+use crate::net::request_body::MIN_BODY_RATE;
 use crate::net::runtime::metrics::{Counter, COUNTERS};
 
 /// Time within which the head of a request must arrive, and by which its body may lag behind `MIN_BODY_RATE`. The platform requires that a client that sends
 /// invalid data, or nothing, is disconnected within 3 s of connecting.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Minimum rate of a request's body in bytes per second, from the operators' pages.
-const MIN_BODY_RATE: u32 = 64_000;
 /// Time within which a client must read its response, or some of a response that is passed on while it arrives.
 const RESPONSE_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long an idle connection stays open between requests.
--- a/src/net/listener/downstream_io.rs
+++ b/src/net/listener/downstream_io.rs
@@ -8,12 +8,16 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::connection_table::Stage;
@@ -25,6 +29,9 @@
 /// Maximum number of bytes read ahead while a request is in flight. Clients send one request at a time, so what goes
 /// beyond that is discarded and the connection closes after the response.
 const MAX_READ_AHEAD_BYTES: usize = 4 << 10;
+/// Interval between checks whether the client has disconnected while its bytes are not read. The platform allows 100 ms
+/// to notice it.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The response to a client whose connection is closed because others wait for the memory that it holds.
 const EVICTED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -35,7 +42,7 @@
     stream: Mutex<TokioIo<TcpStream>>,
     read_ahead: Mutex<BytesMut>,
     gone: CancellationToken,
-    /// Whether bytes that followed a request were discarded.
+    /// Whether the rest of what the client sends is discarded.
     has_discarded: AtomicBool,
     /// Whether the head of the current request was read, and its body is being read.
     is_reading_body: AtomicBool,
@@ -92,7 +99,25 @@
         }
     }
 
-    /// Whether bytes that followed a request were discarded, so that no further request can be read.
+    /// Waits until the runtime has seen the client's end of the stream, which may lie behind bytes that are not read yet.
+    pub(super) async fn wait_until_read_closed(&self) {
+        while !self.is_read_closed() {
+            sleep(END_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn is_read_closed(&self) -> bool {
+        let stream = self.stream();
+        let readiness = stream.inner().ready(Interest::READABLE).now_or_never();
+        readiness.is_some_and(|readiness| readiness.map_or(true, Ready::is_read_closed))
+    }
+
+    /// Gives up the rest of what the client sends, because its request is answered before its end.
+    pub(super) fn discard_rest(&self) {
+        self.has_discarded.store(true, Relaxed);
+    }
+
+    /// Whether bytes of the client were discarded, so that no further request can be read.
     pub(super) fn has_discarded(&self) -> bool {
         self.has_discarded.load(Relaxed)
     }
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -1,7 +1,7 @@
 //! Handles a request from its head to its one final response.
 
 use std::future::pending;
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,13 +12,12 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::Router;
-use bytes::Bytes;
 use sedgestack::{Micros, Request, RequestId};
 use tokio::sync::oneshot;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::body::read_body;
+use super::body::{read_body, BodyRest, ReadBody, RestEnd};
 use super::client_stream::ClientStream;
 use super::client_watch::DisconnectGuard;
 use super::connection::ClientConnection;
@@ -31,6 +30,7 @@
 use crate::net::control::message::{
     AcceptedRequest, Arrival, ForwardedRequest, Message, Reply, VersionedReply,
 };
+use crate::net::request_body::RequestBody;
 use crate::net::runtime::memory_budget::GUARANTEED_BODY_BYTES;
 use crate::net::runtime::metrics::COUNTERS;
 use crate::net::runtime::shutdown::Phase;
@@ -63,7 +63,6 @@
 }
 
 async fn handle_request(State(listener): State<Arc<Listener>>, request: axum::extract::Request) -> Response {
-    let arrived_at = Instant::now();
     let (mut parts, body) = request.into_parts();
     let connection = parts.extensions.remove::<ClientConnection>();
     let head = match RequestHead::parse(&listener, &parts) {
@@ -72,7 +71,7 @@
     };
     listener.stats.record_request_started();
     let mut pending = PendingRequest { stats: &listener.stats, class: head.class, status: None };
-    let received = ReceivedRequest { arrived_at, parts, head, body };
+    let received = ReceivedRequest { parts, head, body };
     let response = respond(&listener, received, connection).await;
     pending.status = Some(response.status());
     response
@@ -94,7 +93,6 @@
 
 /// A request whose head was read, but not its body.
 struct ReceivedRequest {
-    arrived_at: Instant,
     parts: Parts,
     head: RequestHead,
     body: Body,
@@ -106,11 +104,14 @@
     received: ReceivedRequest,
     connection: Option<ClientConnection>,
 ) -> Response {
-    let ReceivedRequest { arrived_at, parts, head, body } = received;
-    let body = match read_body(listener, &parts.headers, body, connection.as_ref()).await {
-        Ok(body) => body,
+    let ReceivedRequest { parts, head, body } = received;
+    let ReadBody { body, rest } = match read_body(listener, &parts.headers, body, connection.as_ref()).await {
+        Ok(read) => read,
         Err(error) => return error.into_response(),
     };
+    // A client's time counts from the last byte of its request. For a long body, which is still arriving, it is extended
+    // by the time for which the client is awaited.
+    let arrived_at = Instant::now();
     // A second request with the id of an open one would reach a backend as a duplicate.
     let Some(open_id) = listener.open_ids.claim(head.id.clone()) else {
         return RequestError::AlreadyOpen.into_response();
@@ -121,7 +122,8 @@
     let client_gone = CancellationToken::new();
     let forward = forwarded_request(parts, &head, open_id, body, client_gone.clone());
     let (reply, reply_receiver) = oneshot::channel();
-    let accepted = listener.accept(arrived_at, &head, forward, reply);
+    let forward = Arc::new(forward);
+    let accepted = listener.accept(arrived_at, &head, forward.clone(), reply);
     let (id, deadline) = (accepted.request.id, accepted.deadline);
     if listener.control.try_send(Message::Accepted(accepted)).is_err() {
         COUNTERS.turned_away_full.increment();
@@ -132,6 +134,8 @@
         client_gone,
         reply: reply_receiver,
         respond_by: deadline - LOST_REPLY_MARGIN.min(head.timeout),
+        forward,
+        rest,
     };
     let mut response = handed_over.await_response(listener, connection.as_ref()).await;
     // No further request can be read on a connection from which bytes were discarded.
@@ -146,7 +150,7 @@
     parts: Parts,
     head: &RequestHead,
     id: OpenRequestId,
-    body: Bytes,
+    body: RequestBody,
     client_gone: CancellationToken,
 ) -> ForwardedRequest {
     let path = parts.uri.into_parts().path_and_query;
@@ -174,7 +178,7 @@
         &self,
         arrived_at: Instant,
         head: &RequestHead,
-        forward: ForwardedRequest,
+        forward: Arc<ForwardedRequest>,
         reply: oneshot::Sender<VersionedReply>,
     ) -> AcceptedRequest {
         // Requests accepted late in a shutdown must be answered before the process exits, even if their clients would
@@ -196,7 +200,7 @@
             first_limiter: head.metering.first,
             is_retry: head.is_retry,
         };
-        AcceptedRequest { request, forward: Arc::new(forward), origin, deadline, reply }
+        AcceptedRequest { request, forward, origin, deadline, reply }
     }
 }
 
@@ -206,27 +210,37 @@
     client_gone: CancellationToken,
     reply: oneshot::Receiver<VersionedReply>,
     respond_by: Instant,
+    forward: Arc<ForwardedRequest>,
+    /// The rest of a long body, which the client is still sending.
+    rest: Option<BodyRest>,
 }
 
 impl HandedOverRequest {
-    /// Waits for the control actor's reply. If it is lost, the response has status 504.
+    /// Waits for the control actor's reply, and passes the rest of a long body on meanwhile. If the reply is lost, the
+    /// response has status 504.
     async fn await_response(self, listener: &Listener, connection: Option<&ClientConnection>) -> Response {
         let mut disconnect_guard = DisconnectGuard::new(self.id, listener.control.clone(), self.client_gone);
-        let reply = timeout_at(self.respond_by, self.reply);
+        let has_unread_body = AtomicBool::new(self.rest.is_some());
+        let lost = self.forward.body.wait_until(self.respond_by);
+        let client = follow_client(connection, &self.forward.body, self.rest, &has_unread_body);
         let reply = tokio::select! {
             biased;
-            reply = reply => reply,
-            // When the client disconnects, the connection ends and this future is dropped with it.
-            () = wait_for_client_close(connection) => pending().await,
+            reply = self.reply => reply.ok(),
+            () = lost => None,
+            // The client sends too slowly. `disconnect_guard` reports that as a disconnect.
+            error = client => return error.into_response(),
         };
+        if let Some(connection) = connection.filter(|_| has_unread_body.load(Relaxed)) {
+            connection.downstream.discard_rest();
+        }
         match reply {
-            Ok(Ok((reply, version))) => {
+            Some((reply, version)) => {
                 disconnect_guard.on_answered();
                 reply_response(reply, version, connection)
             }
             // Without a reply it is unknown whether the request ran, so it is answered as failed, in time for the
             // client's deadline. `disconnect_guard` then reports a disconnect, which ends the request.
-            _ => {
+            None => {
                 COUNTERS.last_resort.increment();
                 StatusCode::GATEWAY_TIMEOUT.into_response()
             }
@@ -234,13 +248,27 @@
     }
 }
 
-/// Waits until the client disconnects, so that no work is done for a client that has gone. The server library notices
-/// a disconnect only if the client has sent nothing after the request.
-async fn wait_for_client_close(connection: Option<&ClientConnection>) {
-    match connection {
-        Some(connection) => connection.downstream.wait_until_closed().await,
-        None => pending().await,
+/// Passes the rest of a long body on, and then waits until the client disconnects, so that no work is done for a client
+/// that has gone: the server library notices a disconnect only if the client has sent nothing after the request. When
+/// the client disconnects, the connection ends and this future is dropped with it. Returns an error if the body does not
+/// arrive.
+async fn follow_client(
+    connection: Option<&ClientConnection>,
+    body: &RequestBody,
+    rest: Option<BodyRest>,
+    has_unread_body: &AtomicBool,
+) -> RequestError {
+    if let (RequestBody::Streamed(body), Some(rest)) = (body, rest) {
+        match rest.forward(body, connection).await {
+            Ok(RestEnd::Complete) => has_unread_body.store(false, Relaxed),
+            Ok(RestEnd::NotTaken) => {}
+            Err(error) => return error,
+        }
+    }
+    if let Some(connection) = connection {
+        connection.downstream.wait_until_closed().await;
     }
+    pending().await
 }
 
 /// Converts the control actor's reply to a response. `version` is that of the runtime configuration, if limiters
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod listener;
 pub mod peers;
 pub mod quota_counter;
+pub mod request_body;
 pub mod runtime;
 pub mod streamed_body;
 pub mod upstream;
--- /dev/null
+++ b/src/net/request_body.rs
@@ -0,0 +1,136 @@
+//! The body of a client's request: a short one whole, a long one as it arrives.
+//!
+//! The start of a long body is kept, so that an attempt that got no further can be repeated. The rest passes through a
+//! bounded window to the one attempt that takes it.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, Instant};
+
+use crate::net::runtime::memory_budget::Reservation;
+use crate::net::streamed_body::{BodyPart, WINDOW_PARTS};
+
+/// Minimum rate of a request's body in bytes per second, from the operators' pages.
+pub const MIN_BODY_RATE: u32 = 64_000;
+/// Time by which a client may lag behind `MIN_BODY_RATE`.
+pub const MAX_BODY_LAG: Duration = Duration::from_secs(2);
+/// Minimum time between two looks at a deadline that moves while a client is awaited.
+const MIN_DEADLINE_CHECK: Duration = Duration::from_millis(1);
+
+/// The body of a client's request.
+#[derive(Debug)]
+pub enum RequestBody {
+    Whole(Bytes),
+    Streamed(StreamedRequestBody),
+}
+
+/// A body that is passed on while it arrives.
+#[derive(Debug)]
+pub struct StreamedRequestBody {
+    /// The start of the body, which each attempt sends.
+    pub first: Bytes,
+    /// Length of the whole body.
+    pub length: u64,
+    /// The rest, until an attempt takes it.
+    rest: Mutex<Option<mpsc::Receiver<BodyPart>>>,
+    client_wait: Mutex<ClientWait>,
+    _memory: Reservation,
+}
+
+/// For how long the limiter has waited for a client's bytes, with room for them. A client's deadline counts from the
+/// last byte of its request, so it moves by this time.
+#[derive(Debug, Default)]
+struct ClientWait {
+    ended: Duration,
+    since: Option<Instant>,
+}
+
+impl StreamedRequestBody {
+    /// Creates a body of `length` bytes that begins with `first`. Returns the sender of the rest.
+    pub fn new(
+        first: Bytes,
+        length: u64,
+        memory: Reservation,
+    ) -> (mpsc::Sender<BodyPart>, StreamedRequestBody) {
+        let (sender, rest) = mpsc::channel(WINDOW_PARTS);
+        let (rest, client_wait) = (Mutex::new(Some(rest)), Mutex::default());
+        (sender, StreamedRequestBody { first, length, rest, client_wait, _memory: memory })
+    }
+
+    /// Takes the rest. Only the first caller receives it.
+    pub fn take_rest(&self) -> Option<mpsc::Receiver<BodyPart>> {
+        self.rest.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    fn client_wait(&self) -> MutexGuard<'_, ClientWait> {
+        self.client_wait.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that the limiter waits for the client from now on.
+    pub fn begin_client_wait(&self) {
+        self.client_wait().since = Some(Instant::now());
+    }
+
+    /// Records that bytes of the client arrived.
+    pub fn end_client_wait(&self) {
+        let mut wait = self.client_wait();
+        if let Some(since) = wait.since.take() {
+            wait.ended += since.elapsed();
+        }
+    }
+
+    /// For how long the limiter has waited for the client's bytes so far.
+    pub fn waited(&self) -> Duration {
+        let wait = self.client_wait();
+        wait.ended + wait.since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
+    /// Time for which the limiter waits for the client at most until `received` bytes have arrived.
+    pub fn max_wait(received: u64) -> Duration {
+        MAX_BODY_LAG + Duration::from_secs(received) / MIN_BODY_RATE
+    }
+}
+
+impl RequestBody {
+    /// Length of the body in bytes.
+    pub fn length(&self) -> u64 {
+        match self {
+            RequestBody::Whole(bytes) => bytes.len() as u64,
+            RequestBody::Streamed(body) => body.length,
+        }
+    }
+
+    /// Whether all that was sent of the body so far is kept, so that it can be sent once more.
+    pub fn is_replayable(&self) -> bool {
+        match self {
+            RequestBody::Whole(_) => true,
+            RequestBody::Streamed(body) => body.rest.lock().unwrap_or_else(PoisonError::into_inner).is_some(),
+        }
+    }
+
+    /// Time for which the client may still take to send the rest of the body.
+    pub fn max_client_wait(&self) -> Duration {
+        match self {
+            RequestBody::Whole(_) => Duration::ZERO,
+            RequestBody::Streamed(body) => StreamedRequestBody::max_wait(body.length),
+        }
+    }
+
+    /// Waits until `deadline`, which moves by the time for which the client is awaited.
+    pub async fn wait_until(&self, deadline: Instant) {
+        let RequestBody::Streamed(body) = self else { return sleep_until(deadline).await };
+        loop {
+            let (due, now) = (deadline + body.waited(), Instant::now());
+            if now >= due {
+                return;
+            }
+            sleep_until(due.max(now + MIN_DEADLINE_CHECK)).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/runtime/metrics.rs
+++ b/src/net/runtime/metrics.rs
@@ -172,6 +172,8 @@
     memory_evicted,
     /// Largest number of bytes reserved by requests, or by responses.
     memory_reserved_most,
+    /// Requests with a long body that was passed on while it arrived.
+    requests_streamed,
     /// Long responses that were passed on while they arrived, and those of them that the backend broke off.
     responses_streamed,
     responses_broken_off,
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -16,7 +16,7 @@
 /// Memory reserved for a streamed body: its first part, a part under way, and the write buffer of the HTTP library.
 pub const STREAM_MEMORY_BYTES: usize = 2 * MAX_WHOLE_BODY_BYTES;
 /// Number of parts, of 8 KiB at most, that wait between the sender and the receiver.
-const WINDOW_PARTS: usize = 2;
+pub const WINDOW_PARTS: usize = 2;
 
 /// The sender did not send the whole body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -7,7 +7,7 @@
 
 use axum::http::HeaderValue;
 use sedgestack::{Outcome, RequestId};
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 
 use super::connection::Connection;
 use super::exchange_progress::{ExchangeProgress, ExchangeState};
@@ -24,6 +24,7 @@
     pub number: u32,
     pub forward: Arc<ForwardedRequest>,
     pub started_at: Instant,
+    /// When the attempt is given up. The time for which the client keeps its body waiting does not count.
     pub deadline: Instant,
     /// If the request is not fully written by this time, the attempt is given up: the request must not reach the
     /// backend any later.
@@ -146,18 +147,24 @@
         step: impl Future<Output = T>,
         may_withdraw: impl Fn() -> bool,
     ) -> StepEnd<T> {
-        let step = timeout_at(self.attempt.deadline, step);
+        let deadline_passed = self.attempt.forward.body.wait_until(self.attempt.deadline);
+        let step = async {
+            tokio::select! {
+                biased;
+                finished = step => StepEnd::Finished(finished),
+                () = deadline_passed => StepEnd::DeadlinePassed,
+            }
+        };
         tokio::pin!(step);
         let withdrawn = self.attempt.wait_for_withdrawal();
-        let finished = tokio::select! {
+        tokio::select! {
             biased;
-            finished = &mut step => finished,
+            end = &mut step => end,
             outcome = withdrawn => match may_withdraw() {
-                true => return StepEnd::Withdrawn(outcome),
+                true => StepEnd::Withdrawn(outcome),
                 false => step.await,
             },
-        };
-        finished.map_or(StepEnd::DeadlinePassed, StepEnd::Finished)
+        }
     }
 
     fn outcome_of_failed_dial(&self) -> Outcome {
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -8,6 +8,7 @@
 
 mod actor;
 mod attempt;
+mod attempt_body;
 mod connection;
 mod counted_io;
 mod dialer;
--- a/src/net/upstream/request.rs
+++ b/src/net/upstream/request.rs
@@ -4,11 +4,10 @@
 
 use axum::http::uri::{Authority, PathAndQuery};
 use axum::http::{header, HeaderName, HeaderValue, Method, Request, Uri};
-use bytes::Bytes;
-use http_body_util::Full;
 use tokio::time::Instant;
 
 use super::attempt::Attempt;
+use super::attempt_body::AttemptBody;
 
 const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const X_DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -20,9 +19,9 @@
 ///
 /// The time left is computed in this call, so call it only once the connection is open: dialling may take longer than
 /// the tolerance that backends allow for this value.
-pub(super) fn build_request(host: &HeaderValue, attempt: &Attempt) -> Request<Full<Bytes>> {
+pub(super) fn build_request(host: &HeaderValue, attempt: &Attempt) -> Request<AttemptBody> {
     let forward = &attempt.forward;
-    let mut request = Request::new(Full::new(forward.body.clone()));
+    let mut request = Request::new(AttemptBody::new(forward));
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = Uri::from(forward.path.clone());
     let headers = request.headers_mut();
@@ -33,15 +32,15 @@
     let remaining_ms = attempt.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
     headers.insert(X_DEADLINE_MS, HeaderValue::from(remaining_ms));
     if forward.method != Method::GET {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.len()));
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.length()));
     }
     headers.insert(header::HOST, host.clone());
     request
 }
 
 /// Builds a `GET` request for `path` at the backend that `host` names.
-pub(super) fn build_get(host: &HeaderValue, path: PathAndQuery) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::default());
+pub(super) fn build_get(host: &HeaderValue, path: PathAndQuery) -> Request<AttemptBody> {
+    let mut request = Request::new(AttemptBody::empty());
     *request.uri_mut() = Uri::from(path);
     request.headers_mut().insert(header::HOST, host.clone());
     request
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -4,10 +4,11 @@
 
 use axum::http::{header, response, HeaderMap, HeaderName, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use sedgestack::Outcome;
 
+use super::attempt_body::AttemptBody;
 use super::connection::Connection;
 use super::load_report::load_report;
 use super::pool::Pool;
@@ -27,7 +28,7 @@
 pub(super) async fn exchange(
     pool: &Pool,
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<AttemptBody>,
     shared: &UpstreamShared,
     attempt_outcome: &mut AttemptOutcome,
 ) -> Outcome {
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::net::request_body::RequestBody;
 use crate::net::runtime::memory_budget::MemoryBudget;
 
 /// How a scripted backend reacts to a request. The variant's name is the path of the request.
@@ -163,7 +164,7 @@
         path: format!("/{behavior:?}").try_into().unwrap(),
         id: OpenRequestIds::default().claim(HeaderValue::from_static("9b1f03aa5c7e2d41")).unwrap(),
         key: None,
-        body: Bytes::from_static(b"body"),
+        body: RequestBody::Whole(Bytes::from_static(b"body")),
         client_gone: CancellationToken::new(),
     };
     let started_at = Instant::now();
