Bound the rate of counter calls, so that a long calm can't end the process

Cause: the rate of calls rose with each answer without an end, until the time between two calls was rounded to 0, modulo which the delay of a report is drawn.

Change: the rate ends at 100,000 calls a second, the time is never 0. All other divisors in the decisions and crates were looked through.

--- a/src/decision/counter_budget.rs
+++ b/src/decision/counter_budget.rs
@@ -10,6 +10,9 @@
 const INITIAL_CALLS: f64 = 1_000.0;
 const INITIAL_CALLS_MANY_LIMITERS: f64 = 500.0;
 const MIN_CALLS: f64 = 100.0;
+/// Maximum calls per second of one limiter. It bounds the rate of a counter that never fails, and is more than a limiter
+/// makes, which has one call per request at most.
+const MAX_CALLS_PER_LIMITER: f64 = 100_000.0;
 const CALLS_INCREASE: f64 = 20.0;
 const CALLS_INCREASE_MANY_LIMITERS: f64 = 80.0;
 /// Factor on the rate after a failure, applied once per backoff.
@@ -67,9 +70,9 @@
     }
 
     /// Returns how long a report that found no call available waits: the rest of the backoff and the time
-    /// between two calls.
+    /// between two calls. It is never 0.
     pub(super) fn report_delay(&self, now: Micros) -> Micros {
-        self.backoff_until.saturating_sub(now) + (SECOND / self.calls.rate) as Micros
+        self.backoff_until.saturating_sub(now) + (SECOND / self.calls.rate).max(1.0) as Micros
     }
 
     /// Records an answer: ends the backoff and raises the rate.
@@ -80,7 +83,7 @@
         // counter's capacity.
         let increase =
             if self.many_limiters { CALLS_INCREASE_MANY_LIMITERS } else { CALLS_INCREASE / self.calls.rate };
-        self.calls.rate += increase / self.limiters;
+        self.calls.rate = (self.calls.rate + increase / self.limiters).min(MAX_CALLS_PER_LIMITER);
     }
 
     /// Records an unanswered call: lowers the rate and starts a backoff. Returns the end of the backoff.
@@ -120,3 +123,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
