--- a/src/decision/counter_budget.rs
+++ b/src/decision/counter_budget.rs
@@ -10,8 +10,8 @@
 const INITIAL_CALLS: f64 = 1_000.0;
 const INITIAL_CALLS_MANY_LIMITERS: f64 = 500.0;
 const MIN_CALLS: f64 = 100.0;
-/// Maximum calls per second of one limiter. It bounds the rate of a counter that never fails, and is more than a limiter
-/// makes, which has one call per request at most.
+/// Maximum calls per second of one limiter. It bounds the rate of a counter that never fails, and is more
+/// than a limiter makes, which has one call per request at most.
 const MAX_CALLS_PER_LIMITER: f64 = 100_000.0;
 const CALLS_INCREASE: f64 = 20.0;
 const CALLS_INCREASE_MANY_LIMITERS: f64 = 80.0;
--- a/src/decision/counter_budget/tests.rs
+++ b/src/decision/counter_budget/tests.rs
@@ -11,8 +11,8 @@
     ProptestConfig { cases, rng_seed: RngSeed::Fixed(20), failure_persistence: None, ..Default::default() }
 }
 
-/// Guards against a process that ends with a division by zero: with each answer the rate rose without an end, until the
-/// time between two calls, by which a draw is divided, was rounded to 0.
+/// Guards against a process that ends with a division by zero: with each answer the rate rose without an
+/// end, until the time between two calls, by which a draw is divided, was rounded to 0.
 #[test]
 fn time_between_two_calls_is_never_zero_after_a_long_calm() {
     for (limiters, many_limiters) in [(1, false), (3, false), (5, true), (300, true)] {
