--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -33,6 +33,7 @@
 use crate::net::admin::stats::AdminStats;
 use crate::net::consensus::OperatorRequest;
 use crate::net::control::message::ControlCommand;
+use crate::net::runtime::memory_budget::MemoryBudget;
 use crate::net::runtime::metrics::COUNTERS;
 use crate::net::runtime::shutdown::Phase;
 use crate::net::runtime::socket_errors;
@@ -49,6 +50,7 @@
 /// State shared by all calls to the operators' address.
 pub struct Admin {
     pub stats: Arc<AdminStats>,
+    pub memory: MemoryBudget,
     pub phase: watch::Sender<Phase>,
     pub control: mpsc::Sender<ControlCommand>,
     /// The file that stores the cordoned backends, if any.
@@ -136,7 +138,9 @@
 }
 
 async fn stats(State(admin): State<Arc<Admin>>) -> Response {
-    respond::ok(format!("{}\n", admin.stats.json()))
+    let mut stats = admin.stats.json();
+    stats["memory"] = admin.memory.json();
+    respond::ok(format!("{stats}\n"))
 }
 
 #[cfg(test)]
--- a/src/net/runtime/memory_budget.rs
+++ b/src/net/runtime/memory_budget.rs
@@ -8,6 +8,7 @@
 use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
+use serde_json::{json, Value};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::PollSemaphore;
 
@@ -64,6 +65,10 @@
         self.capacity - self.available.available_permits()
     }
 
+    fn json(&self) -> Value {
+        json!({"reserved": self.reserved(), "waiting": self.waiting()})
+    }
+
     fn reservation(&self, permit: OwnedSemaphorePermit) -> Reservation {
         COUNTERS.memory_reserved_most.raise_to(self.reserved() as u64);
         Reservation { _permit: permit }
@@ -129,6 +134,11 @@
         let pool = || BytePool::new((budget / 2).max(MIN_POOL_BYTES));
         MemoryBudget { requests: pool(), responses: pool() }
     }
+
+    /// Returns the bytes reserved and the number of waiting callers, by direction, as JSON.
+    pub fn json(&self) -> Value {
+        json!({"requests": self.requests.json(), "responses": self.responses.json()})
+    }
 }
 
 /// Bounds the bytes of one head that the HTTP library buffers.
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -143,7 +143,8 @@
 
     let (phase, stopping) = watch::channel(Phase::Serving);
     if let Some(listener) = admin_listener {
-        start_admin(listener, &config, stats.clone(), phase.clone(), control, operator_calls);
+        let (stats, memory) = (stats.clone(), memory.clone());
+        start_admin(listener, &config, stats, memory, phase.clone(), control, operator_calls);
     }
     let longest_deadline = config::to_duration(config.limits.longest_deadline);
     let shutdown_deadline = ShutdownDeadline::default();
@@ -319,6 +320,7 @@
     listener: TcpListener,
     config: &Config,
     admin_stats: Arc<AdminStats>,
+    memory: MemoryBudget,
     phase: watch::Sender<Phase>,
     control: mpsc::Sender<ControlCommand>,
     operator_calls: Option<mpsc::Sender<OperatorRequest>>,
@@ -327,8 +329,15 @@
     if let Some(file) = cordon_file.clone() {
         tokio::spawn(cordons::watch_file(file, cordon_lock.clone(), control.clone()));
     }
-    let admin =
-        Admin { stats: admin_stats, phase, control, cordon_file, cordon_lock, consensus: operator_calls };
+    let admin = Admin {
+        stats: admin_stats,
+        memory,
+        phase,
+        control,
+        cordon_file,
+        cordon_lock,
+        consensus: operator_calls,
+    };
     tokio::spawn(admin::serve(listener, admin));
 }
 
--- a/tests/limiter/long_answers.rs
+++ b/tests/limiter/long_answers.rs
@@ -226,3 +226,40 @@
     }
     assert!(read >= LARGE, "cut off after {read} bytes and {:?}", started.elapsed());
 }
+
+/// Starts a limiter with an address for admin calls, and a client whose long answer is under way.
+fn start_with_answer_under_way() -> (Limiter, Backend, TcpStream) {
+    let backend = Backend::start(|stream| {
+        write_slowly(stream, Framing::Length, (LENGTH, LENGTH), PAUSE);
+    });
+    let (discovery, _push) = discovery();
+    let (counter, _) = quota_counter(true);
+    let mut config = config(discovery, counter, vec![backend.entry("s-1", "Ready")]);
+    config["ops"] = serde_json::json!("127.0.0.1:0");
+    let mut limiter = Limiter::start(&config);
+    limiter.wait_until_ready();
+    let stream = request_stream(&limiter);
+    limiter.wait_for_counters(|count| count("responses_streamed") == 1);
+    (limiter, backend, stream)
+}
+
+/// A drain must not cut off a long answer; its connection closes behind it.
+#[test]
+fn long_answer_under_way_is_finished_in_a_drain() {
+    let (limiter, _backend, mut stream) = start_with_answer_under_way();
+    assert_eq!(limiter.call_admin("PUT", "quiesce").status(), 200);
+    let answer = read_answer(&mut stream);
+    assert!(answer.is_whole && answer.body == content(LENGTH), "{} bytes", answer.body.len());
+    assert_eq!(stream.read(&mut [0; 1]).expect("the connection ends"), 0);
+}
+
+/// A planned stop must not cut off a long answer that ends in time.
+#[test]
+fn long_answer_under_way_is_finished_in_a_shutdown() {
+    let (limiter, _backend, mut stream) = start_with_answer_under_way();
+    limiter.signal("TERM");
+    let answer = read_answer(&mut stream);
+    assert!(answer.is_whole && answer.body == content(LENGTH), "{} bytes", answer.body.len());
+    let (status, _) = limiter.wait_for_exit();
+    assert!(status.success());
+}
