Play long bodies and crowds of slow clients in the soak, and compare every byte

Half of the runs have request bodies of up to 0.5 MB and answers of up to 1.5 MB in every framing, half of those of small fleets a crowd that stops within bodies or heads, sends byte by byte, doesn't read, or leaves behind many bytes. New rule: bodies arrive whole and unchanged; a sound answer that is cut off and not served counts as lost.

--- a/crates/rehearse/src/soak/backend.rs
+++ b/crates/rehearse/src/soak/backend.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use super::body::{content, AnswerRequest, ContentCheck, Framing};
 use super::records::{AttemptEnd, AttemptRecord, Records};
 use crate::sync::locked;
 use crate::{io, Failure};
@@ -22,6 +23,14 @@
 
 /// A connection that is not established within this time shows that the accept queue is full.
 const FILL_CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
+/// Answers up to this size may be retried by a limiter, which then closes the connection.
+const WHOLE_ANSWER_BYTES: usize = 64 << 10;
+/// Number of parts in which a long answer is written.
+const ANSWER_PARTS: usize = 12;
+/// Pause between two parts of a slow answer.
+const PART_PAUSE: Duration = Duration::from_millis(25);
+/// Body of each request that has no long one.
+const SHORT_BODY: &[u8] = b"a thesis";
 /// Listen backlog of an unblocked listener.
 const BACKLOG: i32 = 128;
 
@@ -102,24 +111,37 @@
     async fn serve(&self, backend: usize, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut bytes = Vec::new();
-        while let Some(index) = self.read_request(backend, &mut stream, &mut bytes).await? {
+        while let Some(attempt) = self.read_request(backend, &mut stream, &mut bytes).await? {
             let behavior = self.draw_behavior();
             if matches!(behavior, Behavior::Reject) {
-                self.records.end_attempt(index, AttemptEnd::NotRun);
+                self.records.end_attempt(attempt.index, AttemptEnd::NotRun);
+            }
+            match (behavior, attempt.answer) {
+                (Behavior::Serve, Some(answer)) => {
+                    sleep(self.draw_work()).await;
+                    if let Err(taken) = write_answer(&mut stream, answer).await {
+                        if taken > WHOLE_ANSWER_BYTES {
+                            self.records.add_cut_off(attempt.id);
+                        }
+                        return Ok(());
+                    }
+                    if answer.framing == Framing::UntilClose {
+                        return stream.shutdown().await;
+                    }
+                }
+                _ => self.respond(behavior, &mut stream).await?,
             }
-            self.respond(behavior, &mut stream).await?;
         }
         Ok(())
     }
 
-    /// Reads and records a request. Returns the index of its record, or `None` if the connection ended before the
-    /// request was complete.
+    /// Reads and records a request. Returns `None` if the connection ended before the request was complete.
     async fn read_request(
         &self,
         backend: usize,
         stream: &mut TcpStream,
         bytes: &mut Vec<u8>,
-    ) -> std::io::Result<Option<usize>> {
+    ) -> std::io::Result<Option<CompleteRequest>> {
         bytes.clear();
         if stream.read_buf(bytes).await? == 0 {
             return Ok(None);
@@ -128,7 +150,7 @@
         loop {
             if let Some(request) = Request::parse(bytes) {
                 let index = self.records.add_attempt(AttemptRecord {
-                    id: request.id,
+                    id: request.id.clone(),
                     backend,
                     began_at,
                     told_ms: request.deadline_ms,
@@ -140,7 +162,8 @@
                     }
                 }
                 self.records.end_attempt(index, AttemptEnd::MayHaveRun);
-                return Ok(Some(index));
+                self.check_body(&request, bytes);
+                return Ok(Some(CompleteRequest { index, id: request.id, answer: request.answer }));
             }
             if stream.read_buf(bytes).await? == 0 {
                 return Ok(None);
@@ -148,6 +171,22 @@
         }
     }
 
+    /// Compares the body of a complete request with what its client sent. Short bodies are the same in all requests.
+    fn check_body(&self, request: &Request, bytes: &[u8]) {
+        let body = &bytes[request.length - request.body_length..];
+        let mut check = ContentCheck::default();
+        check.update(body);
+        if !check.is_whole(request.body_length) && body != SHORT_BODY {
+            let problem = format!("a request body of {} bytes was changed", request.body_length);
+            self.records.add_bad_body(&request.id, problem);
+        }
+    }
+
+    /// Draws how long a request is processed.
+    fn draw_work(&self) -> Duration {
+        self.max_work.mul_f64(locked(&self.rng).random())
+    }
+
     fn draw_behavior(&self) -> Behavior {
         let mut rng = locked(&self.rng);
         if rng.random_bool(FAULT_PROBABILITY) {
@@ -158,8 +197,7 @@
     }
 
     async fn respond(&self, behavior: Behavior, stream: &mut TcpStream) -> std::io::Result<()> {
-        let work = self.max_work.mul_f64(locked(&self.rng).random());
-        sleep(work).await;
+        sleep(self.draw_work()).await;
         let head = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
         match behavior {
             Behavior::Serve => stream.write_all(&[&head[..], b"a report"].concat()).await,
@@ -189,6 +227,33 @@
     }
 }
 
+/// Writes a long answer, in parts with pauses if it is slow. If the connection ends before, returns how many bytes were
+/// taken.
+async fn write_answer(stream: &mut TcpStream, answer: AnswerRequest) -> Result<(), usize> {
+    let head = match answer.framing {
+        Framing::Length => format!("Content-Length: {}\r\n", answer.length),
+        Framing::Chunked => "Transfer-Encoding: chunked\r\n".into(),
+        Framing::UntilClose => "Connection: close\r\n".into(),
+    };
+    stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n").as_bytes()).await.map_err(|_| 0_usize)?;
+    let mut taken = 0;
+    for part in content(answer.length).chunks(answer.length.div_ceil(ANSWER_PARTS)) {
+        let framed = match answer.framing {
+            Framing::Chunked => [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat(),
+            Framing::Length | Framing::UntilClose => part.to_vec(),
+        };
+        stream.write_all(&framed).await.map_err(|_| taken)?;
+        taken += part.len();
+        if answer.is_slow {
+            sleep(PART_PAUSE).await;
+        }
+    }
+    if answer.framing == Framing::Chunked {
+        stream.write_all(b"0\r\n\r\n").await.map_err(|_| taken)?;
+    }
+    Ok(())
+}
+
 /// Hangs until the limiter closes the connection, at most for [`HANG_DURATION`].
 async fn hang(stream: &mut TcpStream) -> std::io::Result<()> {
     let _ = tokio::time::timeout(HANG_DURATION, stream.read_u8()).await;
@@ -232,13 +297,24 @@
     deadline_ms: u64,
     /// Length of the request in bytes, body included.
     length: usize,
+    body_length: usize,
+    /// The long answer that the request asks for.
+    answer: Option<AnswerRequest>,
+}
+
+/// A request that arrived completely.
+struct CompleteRequest {
+    /// Index of the attempt's record.
+    index: usize,
+    id: String,
+    answer: Option<AnswerRequest>,
 }
 
 impl Request {
     /// Parses the head of a request; `None` while it is incomplete.
     fn parse(bytes: &[u8]) -> Option<Request> {
-        let text = std::str::from_utf8(bytes).ok()?;
-        let (head, _) = text.split_once("\r\n\r\n")?;
+        let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+        let head = std::str::from_utf8(&bytes[..end]).ok()?;
         let header = |name: &str| {
             head.lines().find_map(|line| {
                 let (key, value) = line.split_once(": ")?;
@@ -250,6 +326,8 @@
             id: header("x-request-id")?.to_string(),
             deadline_ms: header("x-deadline-ms")?.parse().ok()?,
             length: head.len() + 4 + body,
+            body_length: body,
+            answer: AnswerRequest::parse(head.lines().next()?),
         })
     }
 }
--- a/crates/rehearse/src/soak/checker.rs
+++ b/crates/rehearse/src/soak/checker.rs
@@ -42,6 +42,8 @@
     Descriptors,
     /// A limiter's memory stays within the limit.
     Memory,
+    /// Bodies arrive whole and unchanged.
+    Body,
     /// A limiter does not panic, and exits only after a signal to stop.
     Crash,
 }
@@ -89,13 +91,18 @@
         attempts_of.entry(&attempt.id).or_default().push(attempt);
     }
     let drains = records.drains();
-    let mut findings = Vec::new();
+    // What is under way at SIGKILL breaks off.
+    let bad_bodies = records.bad_bodies().into_iter().filter(|bad| bad.at < stop.killed_at);
+    let mut findings: Vec<Finding> =
+        bad_bodies.map(|bad| Finding::new(Rule::Body, format!("{bad:?}"))).collect();
+    let cut_off = records.cut_off();
     for request in &requests {
         let attempts = attempts_of.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
         let request_check = RequestCheck { deployment, request, attempts };
         findings.extend(request_check.closed_unanswered(stop));
         findings.extend(request_check.duplicate());
         findings.extend(request_check.false_rejection());
+        findings.extend(cut_off.contains(&request.id).then(|| request_check.cut_off()).flatten());
         if !is_void {
             findings.extend(request_check.overdue(stop));
             findings.extend(request_check.duplicate_after_window());
@@ -156,7 +163,8 @@
         }
         // A limiter may close a connection without reading the request: a reused connection because it was idle, and
         // any connection if idle clients use up the descriptors.
-        let may_be_unread = self.request.on_reused_connection || self.deployment.idle_clients > 0;
+        let has_crowd = self.deployment.idle_clients > 0 || self.deployment.crowd > 0;
+        let may_be_unread = self.request.on_reused_connection || has_crowd;
         (!may_be_unread).then(|| self.finding(Rule::Lost, "new connection closed without a response"))
     }
 
@@ -192,6 +200,13 @@
         is_violated.then(|| self.finding(Rule::FalseRejection, "rejected although it may have run"))
     }
 
+    /// Reports a request that was not served although a backend was writing its sound answer, of which over 64 KiB had
+    /// been taken.
+    fn cut_off(&self) -> Option<Finding> {
+        let (_, ClientEnd::Answered(status)) = self.request.end? else { return None };
+        (status != 200).then(|| self.finding(Rule::Lost, "a sound answer was cut off"))
+    }
+
     /// Reports an attempt that began after the client had closed its connection.
     fn attempt_after_client_left(&self) -> Option<Finding> {
         let (left_at, ClientEnd::Left) = self.request.end? else { return None };
--- a/crates/rehearse/src/soak/checker/tests.rs
+++ b/crates/rehearse/src/soak/checker/tests.rs
@@ -28,6 +28,9 @@
         max_work: ms(60),
         classes,
         lists: super::super::ListSettings::default(),
+        has_long_bodies: false,
+        crowd: 0,
+        sockets: 256,
     }
 }
 
--- a/crates/rehearse/src/soak/deployment.rs
+++ b/crates/rehearse/src/soak/deployment.rs
@@ -8,8 +8,9 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
-/// A limiter's descriptor limit.
+/// A limiter's descriptor limit, and that of one with a large crowd.
 const SOCKETS: u32 = 256;
+const SOCKETS_OF_LARGE_CROWD: u32 = 1_024;
 /// A limiter's memory limit, in MB.
 const MEMORY_MB: u32 = 32;
 /// Possible deadlines of a class, in milliseconds: below and above the 3 s up to which a deadline delays SIGKILL.
@@ -34,6 +35,14 @@
 const FILLERS_PROBABILITY: f64 = 0.5;
 /// Probability that filler endpoints are in service and take most of the attempts.
 const FILLERS_IN_SERVICE_PROBABILITY: f64 = 0.25;
+/// Probability that some requests and answers have long bodies.
+const LONG_BODIES_PROBABILITY: f64 = 0.5;
+/// Number of slow or excessive clients of each limiter, if there are any.
+const CROWD: std::ops::RangeInclusive<usize> = 30..=110;
+/// Number of them if there is one limiter.
+const LARGE_CROWD: std::ops::RangeInclusive<usize> = 400..=600;
+/// Probability that limiters have such clients.
+const CROWD_PROBABILITY: f64 = 0.5;
 /// Latency objective as a fraction of the deadline.
 const LATENCY_OBJECTIVE_SHARE: f64 = 0.8;
 
@@ -94,6 +103,12 @@
     pub classes: Vec<ClassSettings>,
     /// The endpoint lists that discovery writes.
     pub lists: ListSettings,
+    /// Whether some requests and answers have long bodies.
+    pub has_long_bodies: bool,
+    /// Number of slow or excessive clients of each limiter.
+    pub crowd: usize,
+    /// A limiter's descriptor limit.
+    pub sockets: u32,
 }
 
 /// How long endpoint lists are, and how slowly discovery writes them.
@@ -140,6 +155,9 @@
             max_work: Duration::from_millis(*MAX_WORK_MS.choose(&mut rng).expect("the times are not empty")),
             classes,
             lists: ListSettings::default(),
+            has_long_bodies: false,
+            crowd: 0,
+            sockets: SOCKETS,
         };
         if rng.random_bool(LARGE_FLEET_PROBABILITY) {
             deployment.limiters = rng.random_range(LARGE_FLEET);
@@ -148,6 +166,13 @@
         if rng.random_bool(FILLERS_PROBABILITY) {
             deployment.lists = ListSettings::draw(&mut rng);
         }
+        deployment.has_long_bodies = rng.random_bool(LONG_BODIES_PROBABILITY);
+        let may_have_crowd = !has_idle_clients && deployment.limiters < *LARGE_FLEET.start();
+        if may_have_crowd && rng.random_bool(CROWD_PROBABILITY) {
+            let is_large = deployment.limiters == 1;
+            deployment.crowd = rng.random_range(if is_large { LARGE_CROWD } else { CROWD });
+            deployment.sockets = if is_large { SOCKETS_OF_LARGE_CROWD } else { SOCKETS };
+        }
         deployment
     }
 
@@ -161,7 +186,7 @@
         json!({
             "name": format!("n{limiter}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
             "seed": format!("{:016x}", 0x8c1f_30d2_7a5b_e964_u64 + limiter as u64),
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": self.sockets},
             "known": {"version": 1, "full": true, "servers": known},
             "settings": {
                 "caps": {"cancel": true, "connectTimeoutMs": self.connect_timeout.as_millis() as f64, "keepaliveMs": 4000.0, "maxAttempts": 4,
--- a/crates/rehearse/src/soak/mod.rs
+++ b/crates/rehearse/src/soak/mod.rs
@@ -5,13 +5,16 @@
 //! in each run. A seed therefore does not always reproduce a violation, so a finding carries the records that show it.
 
 mod backend;
+mod body;
 mod checker;
 mod client;
+mod crowd;
 mod deployment;
 mod discovery;
 mod lateness;
 mod limiter;
 mod records;
+mod response;
 mod run;
 
 pub use checker::{check, CheckContext, Finding, Rule, StopTimes};
--- a/crates/rehearse/src/soak/records.rs
+++ b/crates/rehearse/src/soak/records.rs
@@ -1,6 +1,6 @@
 //! Records of what the stand-ins observed, with times on one clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -82,6 +82,21 @@
     attempts: Vec<AttemptRecord>,
     /// Time of the first drain notice, by limiter and backend.
     drains: HashMap<(usize, usize), Duration>,
+    /// Descriptions of bodies that arrived other than they were sent.
+    bad_bodies: Vec<BadBody>,
+    /// Ids of requests whose long answer could not be written to its end.
+    cut_off: HashSet<String>,
+}
+
+/// A body that did not arrive as it was sent.
+#[derive(Clone, Debug, Serialize)]
+pub struct BadBody {
+    /// The request's `X-Request-Id`.
+    pub id: String,
+    /// When the body ended.
+    pub at: Duration,
+    /// What was wrong.
+    pub problem: String,
 }
 
 /// All records of a run.
@@ -126,6 +141,27 @@
         locked(&self.recorded).attempts[index].end = end;
     }
 
+    /// Records a body that did not arrive as it was sent.
+    pub fn add_bad_body(&self, id: &str, problem: String) {
+        let bad = BadBody { id: id.to_string(), at: self.now(), problem };
+        locked(&self.recorded).bad_bodies.push(bad);
+    }
+
+    /// Records that the connection ended while a long answer was being written.
+    pub fn add_cut_off(&self, id: String) {
+        locked(&self.recorded).cut_off.insert(id);
+    }
+
+    /// Returns the ids of the requests whose long answer could not be written to its end.
+    pub fn cut_off(&self) -> HashSet<String> {
+        locked(&self.recorded).cut_off.clone()
+    }
+
+    /// Returns all bodies that did not arrive as they were sent.
+    pub fn bad_bodies(&self) -> Vec<BadBody> {
+        locked(&self.recorded).bad_bodies.clone()
+    }
+
     /// Records a notice to a limiter that a backend is draining or gone. Only the first notice counts.
     pub fn add_drain(&self, limiter: usize, backend: usize) {
         let now = self.now();
