--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -26,8 +26,10 @@
 const MIN_SOCKETS: usize = 96;
 
 const BYTES_PER_MIB: f64 = 1_048_576.0;
-/// Minimum memory that the process can work with, in MiB, and the default.
-const MIN_MEMORY_MB: f64 = 32.0;
+/// Minimum memory that the process can work with, in MiB.
+const MIN_MEMORY_MB: f64 = 16.0;
+/// Memory of a process whose configuration names none, in MiB: the least that the platform gives.
+const DEFAULT_MEMORY_MB: f64 = 32.0;
 
 /// Everything that the process is configured with at its start.
 pub struct Config {
@@ -121,7 +123,7 @@
 
 impl Default for MachineLimits {
     fn default() -> Self {
-        MachineLimits { sockets: 1024, memory_mb: MIN_MEMORY_MB }
+        MachineLimits { sockets: 1024, memory_mb: DEFAULT_MEMORY_MB }
     }
 }
 
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -420,6 +420,7 @@
         (with("/listen", json!("here")), "listen"),
         (with("/seed", json!("seed")), "seed"),
         (with("/limits/sockets", json!(8)), "limits.sockets"),
+        (with("/limits/memory_mb", json!(8)), "limits.memory_mb: 8 is below the minimum of 16"),
         (with("/counter", json!(null)), "counter"),
         (with("/known/servers", json!([{"id": "s-1"}])), "known.servers[0]"),
         ("{".to_string(), "configuration"),
