Record that memory grows with ever new customers as a known failure

One client that sends requests under ever new names takes a process past the least memory limit: each customer is remembered for 20 s.

--- a/tests/limiter/memory.rs
+++ b/tests/limiter/memory.rs
@@ -119,3 +119,29 @@
     assert!(limiter.counter("responses_streamed") > 0);
     drop(crowd);
 }
+
+/// Guards against memory that grows with each new customer's name: clients send requests at full speed under ever new
+/// names.
+#[test]
+fn ever_new_customers_fit_the_smallest_memory_limit() {
+    const CLIENTS: u64 = 8;
+    const CUSTOMERS_PER_CLIENT: u64 = 10_000;
+    let backend = Backend::answering("a report");
+    let limiter = start(&backend);
+    thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            let limiter = &limiter;
+            scope.spawn(move || {
+                let mut client = limiter.connect();
+                let first = number * CUSTOMERS_PER_CLIENT;
+                for customer in first..first + CUSTOMERS_PER_CLIENT {
+                    let name = format!("{customer:016x}");
+                    let request = get_request("large", 1).replace("00000000b4d65521", &name);
+                    client.request(&request);
+                }
+            });
+        }
+    });
+    let peak = limiter.proc_status("VmHWM");
+    assert!(peak <= MEMORY_LIMIT_KB, "{peak} kB");
+}
