--- a/tests/limiter/long_requests.rs
+++ b/tests/limiter/long_requests.rs
@@ -188,3 +188,43 @@
     let requests = healthy.take_requests();
     assert!(requests.len() == sent && requests.iter().all(|request| request.body == body));
 }
+
+/// Guards against a long request that SIGKILL finds unanswered: its deadline moves while its client is awaited, also beyond
+/// the end of a shutdown.
+#[test]
+fn long_request_under_way_is_answered_before_the_end_of_a_shutdown() {
+    let (hanging, _release) = Backend::holding_answers();
+    let limiter = start(vec![hanging.entry("s-1", "Ready")]);
+    let request = post_with_deadline(&content(LENGTH), 8_000);
+    let (start, rest) = request.split_at(request.len() / 2);
+    let mut client = limiter.connect();
+    client.write(start);
+    // Once this is answered, the limiter has read the start.
+    assert_eq!(limiter.request("GET /ready HTTP/1.1\r\n\r\n").status(), 200);
+    limiter.signal("TERM");
+    thread::sleep(Duration::from_millis(1_500));
+    client.write(rest);
+    assert!(client.read_answer().is_some(), "the request was not answered");
+}
+
+/// Guards against a long request that is kept waiting although its client has gone: the end of the connection lies behind
+/// bytes that are not read before an attempt takes them.
+#[test]
+fn disconnect_behind_a_long_body_abandons_the_waiting_request() {
+    let mut limiter = start_without_backends();
+    let request = post_request(&content(30_000_000));
+    let mut client = limiter.connect();
+    client.write(&request[..100_000]);
+    limiter.wait_for_counters(|count| count("taken") == 1);
+    client.write_at_once(20_000_000);
+    drop(client);
+    limiter.wait_for_counters(|count| count("abandoned") + count("rejections") + count("failed") == 1);
+    assert_eq!(limiter.counter("abandoned"), 1, "the disconnect was not noticed");
+}
+
+/// Starts a limiter that knows no backend, so that requests wait.
+fn start_without_backends() -> Limiter {
+    let (discovery, _push) = discovery();
+    let (counter, _) = quota_counter(true);
+    Limiter::start(&config(discovery, counter, vec![]))
+}
