Pass answers under way on before a deadline or timeout cuts them off

Callers saw 429 or 502 in place of a sound answer without a length that a server was still writing, and some of these requests ran on two servers.

Two clocks didn't know progress: the client's deadline, and the timeout of an attempt, four times the expected latency. An answer that may be long is now passed on after 16 KiB, with a part 0.1 s after its first, or shortly before the deadline; the timeout waits while parts arrive. Each cut has a log line.

On the code before, four tests of answer_clocks failed: attempt_timeout, client_deadline, first_bytes_of_a_slow_unannounced_answer, given_up_answer. Now 9 of 9 pass.

--- a/src/net/control/actor/action_execution.rs
+++ b/src/net/control/actor/action_execution.rs
@@ -20,8 +20,8 @@
             Action::StartAttempt { request, backend, timeout, write_within } => {
                 let started_at = self.clock.instant(now);
                 let after = |span: Micros| started_at + Duration::from_micros(span);
-                let (deadline, write_deadline) = (timeout.map(after), write_within.map(after));
-                self.start_attempt(AttemptOrder { request, started_at, deadline, write_deadline }, &backend);
+                let (timeout, write_deadline) = (timeout.map(after), write_within.map(after));
+                self.start_attempt(AttemptOrder { request, started_at, timeout, write_deadline }, &backend);
             }
             Action::CancelAttempt { request, attempt } => self.requests.cancel_attempt(request, attempt),
             Action::Reject { request, retry_after } => self.reply(request, Reply::Rejected { retry_after }),
--- a/src/net/control/request_table.rs
+++ b/src/net/control/request_table.rs
@@ -86,8 +86,8 @@
 pub struct AttemptOrder {
     pub request: RequestId,
     pub started_at: Instant,
-    /// The attempt's own deadline, which applies in addition to that of the request.
-    pub deadline: Option<Instant>,
+    /// The attempt's own timeout, which applies in addition to the deadline of the request.
+    pub timeout: Option<Instant>,
     /// If the request is not fully written by this time, the attempt is given up.
     pub write_deadline: Option<Instant>,
 }
@@ -143,7 +143,8 @@
             number,
             forward: open.forward.clone(),
             started_at: order.started_at,
-            deadline: order.deadline.map_or(open.deadline, |deadline| deadline.min(open.deadline)),
+            deadline: open.deadline,
+            timeout: order.timeout,
             write_deadline: order.write_deadline,
         };
         let sent = handle.as_ref().is_some_and(|handle| handle.send(BackendCommand::Attempt(attempt)));
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -14,7 +14,9 @@
 use crate::net::request_body::{RequestBody, StreamedRequestBody};
 use crate::net::runtime::memory_budget::{Reservation, GUARANTEED_BODY_BYTES};
 use crate::net::runtime::metrics::COUNTERS;
-use crate::net::streamed_body::{BodyPart, MAX_BODY_BYTES, MAX_WHOLE_BODY_BYTES, STREAM_MEMORY_BYTES};
+use crate::net::streamed_body::{
+    BodyPart, MAX_BODY_BYTES, MAX_WHOLE_BODY_BYTES, REQUEST_STREAM_MEMORY_BYTES,
+};
 
 /// Time that a request waits for the memory of its body. It is less than the time after which a connection is closed
 /// whose request does not arrive, so that the client gets an answer.
@@ -85,7 +87,7 @@
     mut body: Body,
     connection: Option<&ClientConnection>,
 ) -> Result<ReadBody, RequestError> {
-    let reservation = reserve(listener, STREAM_MEMORY_BYTES, connection).await?;
+    let reservation = reserve(listener, REQUEST_STREAM_MEMORY_BYTES, connection).await?;
     let first = collect(&mut body, MAX_WHOLE_BODY_BYTES).await?;
     let received = first.len() as u64;
     let (parts, streamed) = StreamedRequestBody::new(first, length, reservation);
--- a/src/net/runtime/log.rs
+++ b/src/net/runtime/log.rs
@@ -9,7 +9,11 @@
 /// Maximum number of log lines per second. Further ones are left out to protect standard error and its reader.
 const MAX_LINES_PER_SECOND: u64 = 20;
 
-static LINE_RATE: LineRate = LineRate::new();
+/// Of them, maximum number of lines about single requests and connections, so that these do not keep out others.
+const MAX_EXCHANGE_LINES_PER_SECOND: u64 = 10;
+
+static LINE_RATE: LineRate = LineRate::new(MAX_LINES_PER_SECOND);
+static EXCHANGE_LINE_RATE: LineRate = LineRate::new(MAX_EXCHANGE_LINES_PER_SECOND);
 /// Whether lines are JSON.
 static IS_JSON: AtomicBool = AtomicBool::new(false);
 
@@ -57,13 +61,14 @@
 
 /// Counts the lines of the current second.
 struct LineRate {
+    max_per_second: u64,
     second: AtomicU64,
     lines: AtomicU64,
 }
 
 impl LineRate {
-    const fn new() -> LineRate {
-        LineRate { second: AtomicU64::new(0), lines: AtomicU64::new(0) }
+    const fn new(max_per_second: u64) -> LineRate {
+        LineRate { max_per_second, second: AtomicU64::new(0), lines: AtomicU64::new(0) }
     }
 
     /// Returns `Some` if a line may be written in `second`. The value is the number of lines left out in the latest
@@ -72,13 +77,22 @@
         let is_same_second = self.second.swap(second, Relaxed) == second;
         let before = if is_same_second { 0 } else { self.lines.swap(0, Relaxed) };
         let written = self.lines.fetch_add(1, Relaxed);
-        (written < MAX_LINES_PER_SECOND).then(|| before.saturating_sub(MAX_LINES_PER_SECOND))
+        (written < self.max_per_second).then(|| before.saturating_sub(self.max_per_second))
     }
 }
 
+fn current_second() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
+}
+
 /// Returns `Some` if a line may be written now, with the number of lines left out before it.
 pub fn acquire_line() -> Option<u64> {
-    LINE_RATE.admit(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs())
+    LINE_RATE.admit(current_second())
+}
+
+/// Whether a line about a single request or connection may be written now, as far as such lines are limited.
+pub fn acquire_exchange_line() -> bool {
+    EXCHANGE_LINE_RATE.admit(current_second()).is_some()
 }
 
 /// Writes a line of level info to the log, unless the limit for the current second is reached. Use this macro instead
@@ -98,5 +112,15 @@
     };
 }
 
+/// Like [`info!`](crate::info), for a line about a single request or connection. Their number is limited on its own.
+#[macro_export]
+macro_rules! exchange_info {
+    ($($words:tt)*) => {
+        if $crate::net::runtime::log::acquire_exchange_line() {
+            $crate::info!($($words)*);
+        }
+    };
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -13,8 +13,12 @@
 pub const MAX_WHOLE_BODY_BYTES: usize = 64 << 10;
 /// Maximum size of a body. The platform's days have bodies of up to 32 MB.
 pub const MAX_BODY_BYTES: u64 = 32 << 20;
-/// Memory reserved for a streamed body: its first part, a part under way, and the write buffer of the HTTP library.
-pub const STREAM_MEMORY_BYTES: usize = 2 * MAX_WHOLE_BODY_BYTES;
+/// Memory reserved for a request whose body is streamed: the start that is kept, a part under way, and the write buffer
+/// of the HTTP library.
+pub const REQUEST_STREAM_MEMORY_BYTES: usize = 2 * MAX_WHOLE_BODY_BYTES;
+/// Memory reserved for a streamed response: its first part, the window, a part under way, and the write buffer of the HTTP
+/// library.
+pub const RESPONSE_STREAM_MEMORY_BYTES: usize = 2 * MAX_WHOLE_BODY_BYTES;
 /// Number of parts, of 8 KiB at most, that wait between the sender and the receiver.
 pub const WINDOW_PARTS: usize = 2;
 
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -15,6 +15,7 @@
 use super::request::build_request;
 use super::response::exchange;
 use super::UpstreamShared;
+use crate::exchange_info;
 use crate::net::control::message::{AttemptOutcome, ForwardedRequest};
 use crate::net::runtime::metrics::COUNTERS;
 
@@ -24,14 +25,46 @@
     pub number: u32,
     pub forward: Arc<ForwardedRequest>,
     pub started_at: Instant,
-    /// When the attempt is given up. The time for which the client keeps its body waiting does not count.
+    /// The client's deadline, at which the attempt is given up. The time for which the client keeps its body waiting does
+    /// not count.
     pub deadline: Instant,
+    /// When the attempt is given up unless an answer has begun and makes progress.
+    pub timeout: Option<Instant>,
     /// If the request is not fully written by this time, the attempt is given up: the request must not reach the
     /// backend any later.
     pub write_deadline: Option<Instant>,
 }
 
 impl Attempt {
+    /// The time limit that the backend is told.
+    pub(super) fn told_deadline(&self) -> Instant {
+        self.timeout.map_or(self.deadline, |timeout| timeout.min(self.deadline))
+    }
+
+    /// Waits until the client's deadline is `margin` away.
+    pub(super) async fn wait_until_deadline_is_near(&self, margin: Duration) {
+        self.forward.body.wait_until(self.deadline - margin.min(self.deadline - self.started_at)).await;
+    }
+
+    /// Waits until a clock ends the attempt, and returns which one.
+    async fn wait_for_clock(&self, progress: Option<&ExchangeProgress>) -> Clock {
+        tokio::select! {
+            biased;
+            () = self.forward.body.wait_until(self.deadline) => Clock::Deadline,
+            () = self.wait_for_timeout(progress) => Clock::Timeout,
+        }
+    }
+
+    /// Waits until the attempt's timeout has passed, and until no answer under way makes progress.
+    async fn wait_for_timeout(&self, progress: Option<&ExchangeProgress>) {
+        let Some(timeout) = self.timeout else { return std::future::pending().await };
+        self.forward.body.wait_until(timeout).await;
+        let progressing_until = || progress?.answer().progressing_until;
+        while let Some(until) = progressing_until().filter(|until| *until > Instant::now()) {
+            sleep_until(until).await;
+        }
+    }
+
     /// Waits until the client disconnects or the write deadline passes. Returns the outcome of the attempt in that
     /// case, which applies only if the request has not been fully written.
     async fn wait_for_withdrawal(&self) -> Outcome {
@@ -48,10 +81,19 @@
     }
 }
 
+/// What ends an attempt whose outcome is still open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Clock {
+    /// The client's deadline.
+    Deadline,
+    /// The attempt's own timeout.
+    Timeout,
+}
+
 /// The result of running one step of an attempt.
 enum StepEnd<T> {
     Finished(T),
-    DeadlinePassed,
+    Expired(Clock),
     /// The attempt was withdrawn before its request was fully written.
     Withdrawn(Outcome),
 }
@@ -103,10 +145,13 @@
 
     /// Acquires a connection and sends the request on it.
     async fn send_once(&self, attempt_outcome: &mut AttemptOutcome) -> NextStep {
-        let connection = match self.run_until_withdrawn(self.pool.acquire(), || true).await {
+        let connection = match self.run_until_withdrawn(self.pool.acquire(), None).await {
             StepEnd::Finished(Ok(connection)) => connection,
             StepEnd::Finished(Err(_)) => return NextStep::EndWith(self.outcome_of_failed_dial()),
-            StepEnd::DeadlinePassed => return NextStep::EndWith(Outcome::ConnectFailed),
+            StepEnd::Expired(clock) => {
+                self.log_cut(None, &format!("{clock:?}"));
+                return NextStep::EndWith(Outcome::ConnectFailed);
+            }
             StepEnd::Withdrawn(outcome) => return NextStep::EndWith(outcome),
         };
         self.send_on_connection(connection, attempt_outcome).await
@@ -119,14 +164,22 @@
     ) -> NextStep {
         let progress = connection.progress().clone();
         let request = build_request(&self.host, &self.attempt);
-        let exchange = exchange(&self.pool, connection, request, &self.shared, attempt_outcome);
-        // A withdrawn attempt counts as never run, so that its request may be sent again. Withdrawal is therefore ruled
-        // out once the request may have run, even if the response never arrives.
-        let may_withdraw = || !progress.state().may_have_run();
-        match self.run_until_withdrawn(exchange, may_withdraw).await {
+        let exchange =
+            exchange(&self.pool, connection, request, &self.attempt, &self.shared, attempt_outcome);
+        match self.run_until_withdrawn(exchange, Some(&progress)).await {
             StepEnd::Finished(Outcome::ConnectFailed) => self.after_connect_failure(&progress),
-            StepEnd::Finished(outcome) | StepEnd::Withdrawn(outcome) => NextStep::EndWith(outcome),
-            StepEnd::DeadlinePassed => {
+            StepEnd::Finished(outcome) => {
+                if outcome == Outcome::Reset {
+                    self.log_cut(Some(&progress), "Reset");
+                }
+                NextStep::EndWith(outcome)
+            }
+            StepEnd::Withdrawn(outcome) => {
+                self.log_cut(Some(&progress), &format!("{outcome:?}"));
+                NextStep::EndWith(outcome)
+            }
+            StepEnd::Expired(clock) => {
+                self.log_cut(Some(&progress), &format!("{clock:?}"));
                 // If the response has started, the attempt was counted when the response head was read.
                 if progress.state() == ExchangeState::FullyWritten {
                     self.shared.stats.record_attempt_written();
@@ -136,8 +189,11 @@
         }
     }
 
-    /// Awaits `step` until the deadline, or until the attempt is withdrawn if `may_withdraw` allows that. A step that
-    /// does not finish is dropped together with its connection, on which nothing more is written.
+    /// Awaits `step` until a clock ends it, or until the attempt is withdrawn. A step that does not finish is dropped
+    /// together with its connection, on which nothing more is written. `progress` is that of the exchange, if one began.
+    ///
+    /// A withdrawn attempt counts as never run, so that its request may be sent again. Withdrawal is therefore ruled out
+    /// once the request may have run, even if the response never arrives.
     ///
     /// Prevents an attempt from starting or continuing to write a request that no client waits for, or that may no
     /// longer be repeated; dialling can take seconds. Once the request is fully written, the backend runs it, so its
@@ -145,14 +201,13 @@
     async fn run_until_withdrawn<T>(
         &self,
         step: impl Future<Output = T>,
-        may_withdraw: impl Fn() -> bool,
+        progress: Option<&ExchangeProgress>,
     ) -> StepEnd<T> {
-        let deadline_passed = self.attempt.forward.body.wait_until(self.attempt.deadline);
         let step = async {
             tokio::select! {
                 biased;
                 finished = step => StepEnd::Finished(finished),
-                () = deadline_passed => StepEnd::DeadlinePassed,
+                clock = self.attempt.wait_for_clock(progress) => StepEnd::Expired(clock),
             }
         };
         tokio::pin!(step);
@@ -160,13 +215,31 @@
         tokio::select! {
             biased;
             end = &mut step => end,
-            outcome = withdrawn => match may_withdraw() {
-                true => StepEnd::Withdrawn(outcome),
-                false => step.await,
+            outcome = withdrawn => match progress.is_some_and(|progress| progress.state().may_have_run()) {
+                false => StepEnd::Withdrawn(outcome),
+                true => step.await,
             },
         }
     }
 
+    /// Logs that the attempt was ended without a complete response, and by what.
+    fn log_cut(&self, progress: Option<&ExchangeProgress>, ended_by: &str) {
+        let attempt = &self.attempt;
+        let (state, answer) =
+            progress.map(|progress| (progress.state(), progress.answer())).unwrap_or_default();
+        exchange_info!(
+            "attempt cut: request {:?} attempt {} backend {:?}: {ended_by} after {} ms, {state:?}, {} of {} body bytes \
+             written, {} body bytes read",
+            attempt.forward.id.value(),
+            attempt.number,
+            self.host,
+            attempt.started_at.elapsed().as_millis(),
+            progress.map_or(0, ExchangeProgress::written_body_bytes),
+            attempt.forward.body.length(),
+            answer.body_bytes,
+        );
+    }
+
     fn outcome_of_failed_dial(&self) -> Outcome {
         // A lack of file descriptors in this process must not count as a failure of the backend.
         if self.backend_closed.load(Relaxed) || self.shared.is_out_of_descriptors() {
--- a/src/net/upstream/exchange_progress.rs
+++ b/src/net/upstream/exchange_progress.rs
@@ -1,8 +1,10 @@
 //! The progress of the current exchange on a connection, and the outcome of its attempt if the exchange breaks.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use sedgestack::Outcome;
+use tokio::time::Instant;
 
 /// Length of the `\r\n\r\n` that ends a head.
 const HEAD_END_BYTES: u64 = 4;
@@ -66,6 +68,17 @@
     request_count: u64,
     /// The exchange was abandoned: no further byte may be written.
     is_abandoned: bool,
+    answer: AnswerProgress,
+}
+
+/// How far the answer to the current request has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct AnswerProgress {
+    /// Bytes of the body that have been read.
+    pub(super) body_bytes: u64,
+    /// Until when an answer under way counts as making progress: the attempt's timeout does not cut it off before. `None`
+    /// while no answer is under way.
+    pub(super) progressing_until: Option<Instant>,
 }
 
 impl ExchangeProgress {
@@ -84,6 +97,7 @@
         exchange.state = ExchangeState::NothingWritten;
         exchange.written = WrittenBytes::default();
         exchange.body_length = body_length;
+        exchange.answer = AnswerProgress::default();
         exchange.request_count += 1;
     }
 
@@ -111,6 +125,23 @@
         self.exchange().state = ExchangeState::ResponseComplete;
     }
 
+    /// Records that `count` bytes of an answer's body were read, after which it may be silent for `max_silence`.
+    pub(super) fn record_answer_part(&self, count: usize, max_silence: Duration) {
+        let mut exchange = self.exchange();
+        exchange.answer.body_bytes += count as u64;
+        exchange.answer.progressing_until = Some(Instant::now() + max_silence);
+    }
+
+    /// How far the answer has come.
+    pub(super) fn answer(&self) -> AnswerProgress {
+        self.exchange().answer
+    }
+
+    /// Bytes of the request's body that the socket has accepted.
+    pub(super) fn written_body_bytes(&self) -> u64 {
+        self.exchange().written.body
+    }
+
     /// Abandons the exchange: nothing more is written on this connection.
     pub(super) fn abandon(&self) {
         self.exchange().is_abandoned = true;
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -4,7 +4,7 @@
 //! An attempt passes through these modules as follows. `actor` receives the command and `attempt` runs it. `pool`
 //! provides a connection, which `dialer` opens if none is idle. `request` builds the HTTP request and `connection`
 //! sends it, while `counted_io` reports the bytes that the socket accepts to `exchange_progress`. `response` reads the
-//! response, and `response_stream` passes on the rest of a long one.
+//! response, `response_body` its body, and `response_stream` passes on the rest of a long one.
 
 mod actor;
 mod attempt;
@@ -18,6 +18,7 @@
 mod pool;
 mod request;
 mod response;
+mod response_body;
 mod response_stream;
 
 use std::sync::Arc;
@@ -45,6 +46,8 @@
     pub control: mpsc::Sender<Message>,
     pub stats: Arc<AdminStats>,
     pub memory: MemoryBudget,
+    /// How long before the client's deadline an answer under way is passed on.
+    pub pass_on_margin: Duration,
 }
 
 impl UpstreamShared {
--- a/src/net/upstream/request.rs
+++ b/src/net/upstream/request.rs
@@ -29,7 +29,7 @@
     if let Some(key) = &forward.key {
         headers.insert(IDEMPOTENCY_KEY, key.clone());
     }
-    let remaining_ms = attempt.deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let remaining_ms = attempt.told_deadline().saturating_duration_since(Instant::now()).as_millis() as u64;
     headers.insert(X_DEADLINE_MS, HeaderValue::from(remaining_ms));
     if forward.method != Method::GET {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(forward.body.length()));
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -1,23 +1,21 @@
 //! Sends an attempt's request and reads the backend's response: a short one whole, the start of a long one.
 
-use std::sync::Arc;
-
 use axum::http::{header, response, HeaderMap, HeaderName, Request, StatusCode};
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming};
+use bytes::Bytes;
 use sedgestack::Outcome;
+use tokio::time::Instant;
 
+use super::attempt::Attempt;
 use super::attempt_body::AttemptBody;
 use super::connection::Connection;
 use super::load_report::load_report;
 use super::pool::Pool;
+use super::response_body::{BodyReader, LongBody, ReadBody};
 use super::response_stream::ResponseStream;
 use super::UpstreamShared;
 use crate::net::control::message::AttemptOutcome;
-use crate::net::runtime::memory_budget::{BytePool, Reservation, GUARANTEED_BODY_BYTES};
 use crate::net::runtime::metrics::COUNTERS;
-use crate::net::streamed_body::{StreamedBody, MAX_BODY_BYTES, MAX_WHOLE_BODY_BYTES, STREAM_MEMORY_BYTES};
+use crate::net::streamed_body::StreamedBody;
 
 pub(super) const X_NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 const X_METER: HeaderName = HeaderName::from_static("x-meter");
@@ -29,6 +27,7 @@
     pool: &Pool,
     mut connection: Connection,
     request: Request<AttemptBody>,
+    attempt: &Attempt,
     shared: &UpstreamShared,
     attempt_outcome: &mut AttemptOutcome,
 ) -> Outcome {
@@ -46,25 +45,42 @@
         return Outcome::Reset;
     }
     record_headers(&head.headers, shared, attempt_outcome);
-    match read_body(head.status, body, &shared.memory.responses).await {
+    let reader = BodyReader::new(head.status, body, &shared.memory.responses, connection.progress());
+    let deadline_near = attempt.wait_until_deadline_is_near(shared.pass_on_margin);
+    match reader.read(deadline_near).await {
         ReadBody::Whole(body) => {
             connection.progress().record_response_complete();
             pool.release(connection);
             outcome_of_whole_response(&head, body, attempt_outcome)
         }
         ReadBody::Long(start) => {
-            let (parts, stream) = StreamedBody::new(start.first, start.length, start.memory);
-            attempt_outcome.stream = Some(stream);
-            COUNTERS.responses_streamed.increment();
-            let pool = pool.clone();
-            let rest = ResponseStream { connection, pool, body: start.body, read: start.read, parts };
-            tokio::spawn(rest.run());
+            attempt_outcome.stream = Some(pass_on(start, connection, pool, attempt));
             Outcome::Ok
         }
         ReadBody::Broken => Outcome::Reset,
     }
 }
 
+/// Starts to pass a long body on while it arrives.
+fn pass_on(start: LongBody, connection: Connection, pool: &Pool, attempt: &Attempt) -> StreamedBody {
+    COUNTERS.responses_streamed.increment();
+    let read = connection.progress().answer().body_bytes;
+    let (parts, stream) = StreamedBody::new(start.first, start.length, start.memory);
+    let rest = ResponseStream {
+        connection,
+        pool: pool.clone(),
+        body: start.body,
+        read,
+        last_part_at: Instant::now(),
+        is_announced: start.length.is_some(),
+        forward: attempt.forward.clone(),
+        deadline: attempt.deadline,
+        parts,
+    };
+    tokio::spawn(rest.run());
+    stream
+}
+
 fn outcome_of_whole_response(
     head: &response::Parts,
     body: Bytes,
@@ -96,72 +112,6 @@
     attempt_outcome.actual_units = number(X_SETTLED).filter(|n| *n > 0.0 && n.is_finite());
 }
 
-/// What was read of a response's body.
-enum ReadBody {
-    Whole(Bytes),
-    /// The start of a body that is too long to be read whole.
-    Long(LongBody),
-    /// The body broke off, or is too long.
-    Broken,
-}
-
-/// The start of a long body, and its rest.
-struct LongBody {
-    first: Bytes,
-    body: Incoming,
-    length: Option<u64>,
-    read: u64,
-    memory: Reservation,
-}
-
-impl LongBody {
-    /// Continues a body with `length` bytes, if that is known, after `first`.
-    async fn new(first: Bytes, body: Incoming, length: Option<u64>, memory: &Arc<BytePool>) -> LongBody {
-        let read = first.len() as u64;
-        LongBody { first, body, length, read, memory: memory.reserve(STREAM_MEMORY_BYTES).await }
-    }
-}
-
-/// Reads a body, and reserves the bytes of one that is not small. Of a response with status 200 that is longer than
-/// [`MAX_WHOLE_BODY_BYTES`] only the start is read: nothing but its first part if its length is announced.
-async fn read_body(status: StatusCode, mut body: Incoming, memory: &Arc<BytePool>) -> ReadBody {
-    let length = body.size_hint().exact();
-    let may_stream = status == StatusCode::OK && length.is_none_or(|length| length <= MAX_BODY_BYTES);
-    if length.is_some_and(|length| length > MAX_WHOLE_BODY_BYTES as u64) {
-        return match body.frame().await.map(|frame| frame.map(Frame::into_data)) {
-            Some(Ok(Ok(first))) if may_stream => {
-                ReadBody::Long(LongBody::new(first, body, length, memory).await)
-            }
-            _ => ReadBody::Broken,
-        };
-    }
-    let mut collected = BytesMut::new();
-    let mut reservation = None;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return ReadBody::Broken };
-        let Ok(data) = frame.into_data() else { continue };
-        if collected.len() + data.len() > MAX_WHOLE_BODY_BYTES {
-            if !may_stream {
-                return ReadBody::Broken;
-            }
-            collected.extend_from_slice(&data);
-            drop(reservation);
-            return ReadBody::Long(LongBody::new(collected.freeze(), body, None, memory).await);
-        }
-        if reservation.is_none() && collected.len() + data.len() > GUARANTEED_BODY_BYTES {
-            let most = length.map_or(MAX_WHOLE_BODY_BYTES, |length| length as usize);
-            reservation = Some(memory.reserve(most).await);
-            collected.reserve(most);
-        }
-        collected.extend_from_slice(&data);
-    }
-    let collected = collected.freeze();
-    ReadBody::Whole(match reservation {
-        Some(reservation) => reservation.attach(collected),
-        None => collected,
-    })
-}
-
 /// Whether a response proves that the request never ran, so that it may be repeated. A status of 503 or 504 alone does
 /// not prove that.
 pub(super) fn is_rejection(status: StatusCode, headers: &HeaderMap) -> bool {
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -174,6 +174,7 @@
         forward: Arc::new(forward),
         started_at,
         deadline: started_at + timeout,
+        timeout: None,
         write_deadline: None,
     }
 }
@@ -194,6 +195,7 @@
             control,
             stats,
             memory: MemoryBudget::new(0, 0),
+            pass_on_margin: Duration::from_millis(30),
         }),
         mailbox,
     )
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use sedgestack::{Limiter, SettingsError};
 use sedgestack_capture::Header;
@@ -45,6 +46,10 @@
 /// Capacity of the mailboxes for operators' calls.
 const CONTROL_MAILBOX: usize = 16;
 
+/// How long before the time at which the decisions give a request up an answer under way is passed on: a few turns of the
+/// control actor.
+const PASS_ON_MARGIN: Duration = Duration::from_millis(30);
+
 /// Reason why the limiter could not start, or why it stopped serving.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -220,6 +225,7 @@
         control: messages.clone(),
         stats: stats.clone(),
         memory: memory.clone(),
+        pass_on_margin: PASS_ON_MARGIN + config::to_duration(2 * config.settings.tick),
     }
 }
 
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -1,6 +1,7 @@
 //! Runs the built program on loopback sockets, with scripted stand-ins for the services that it talks to.
 
 mod answer_begun;
+mod answer_clocks;
 mod bad_input;
 mod client_leaves;
 mod cold;
@@ -12,6 +13,7 @@
 mod long_answers;
 mod long_requests;
 mod memory;
+mod paced_answers;
 mod pool;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
 mod registers;
