Drop parsed heads before requests wait, and divide the memory limit into parts

A request that waited for its body held its parsed head, and the values that it kept shared the buffer of the whole head. What is needed is now copied. memory_plan divides the limit into parts that add up to it, with fewer connections where they don't fit; the allocator counts what it handed out, and at its limit nothing new is let in. A streamed answer hands on at most 16 KiB that the client has not taken, so it reserves 64 KiB instead of 128.

The recorded statistics got three keys; the rest of them is as it was.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,9 +13,13 @@
 use cli::{Cli, Command};
 use net::config::settings::{self, Settings};
 use net::config::{self, ConfigError};
+use net::runtime::heap::CountingAllocator;
 use net::runtime::log;
 use startup::{Capture, RunError};
 
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 /// Reason why the daemon ended with a failure.
 #[derive(Debug, thiserror::Error)]
 enum DaemonError {
--- a/src/net/admin/tests.rs
+++ b/src/net/admin/tests.rs
@@ -12,7 +12,7 @@
     let (phase, seen) = watch::channel(Phase::Serving);
     let admin = Admin {
         stats: Arc::new(AdminStats::new(["read"])),
-        memory: MemoryBudget::new(0, 0),
+        memory: MemoryBudget::new(1 << 20, usize::MAX),
         phase,
         control,
         cordon_file: None,
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -1,7 +1,6 @@
 //! Reads the body of a request: a short one whole, the start of a long one, whose rest is passed on as it arrives.
 
 use axum::body::Body;
-use axum::http::{header, HeaderMap};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
@@ -38,21 +37,14 @@
     received: u64,
 }
 
-/// Returns the length that the head announces. A request without a Content-Length has no body.
-fn announced_length(headers: &HeaderMap) -> u64 {
-    let length = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-    length.unwrap_or(0)
-}
-
-/// Reads a body, or the start of a long one. A body with a larger Content-Length than the platform allows is not read,
-/// and one that is not small only once its bytes are reserved.
+/// Reads a body of `announced` bytes, or the start of a long one. A body that is longer than the platform allows is not
+/// read, and one that is not small only once its bytes are reserved.
 pub(super) async fn read_body(
     listener: &Listener,
-    headers: &HeaderMap,
+    announced: u64,
     body: Body,
     connection: Option<&ClientConnection>,
 ) -> Result<ReadBody, RequestError> {
-    let announced = announced_length(headers);
     if announced == 0 {
         return Ok(ReadBody { body: RequestBody::Whole(Bytes::new()), rest: None });
     }
@@ -90,7 +82,8 @@
     let reservation = reserve(listener, REQUEST_STREAM_MEMORY_BYTES, connection).await?;
     let first = collect(&mut body, MAX_WHOLE_BODY_BYTES).await?;
     let received = first.len() as u64;
-    let (parts, streamed) = StreamedRequestBody::new(first, length, reservation);
+    let (parts, streamed) =
+        StreamedRequestBody::new(first, length, reservation);
     COUNTERS.requests_streamed.increment();
     Ok(ReadBody { body: RequestBody::Streamed(streamed), rest: Some(BodyRest { body, parts, received }) })
 }
--- a/src/net/listener/client_stream.rs
+++ b/src/net/listener/client_stream.rs
@@ -1,7 +1,7 @@
 //! A response that is passed on to a client while it arrives.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -34,7 +34,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyBrokenOff>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        ready!(self.connection.downstream.poll_mostly_written(cx));
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(part) = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref()) {
+            self.connection.downstream.record_unwritten(part.len());
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/net/listener/connections.rs
+++ b/src/net/listener/connections.rs
@@ -1,6 +1,8 @@
 //! The open downstream connections. Closes those whose time is up, and some when capacity runs short.
 
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::task::{yield_now, AbortHandle};
@@ -10,19 +12,31 @@
 use super::downstream_io::Downstream;
 use crate::net::runtime::memory_budget::{BytePool, MemoryBudget};
 use crate::net::runtime::metrics::COUNTERS;
+use crate::{exchange_info, info};
 
 /// The downstream connections of the process, at most `max_open` at a time.
 pub(super) struct Connections {
     max_open: usize,
     memory: MemoryBudget,
+    /// Whether the budget was used up at the last sweep.
+    was_memory_used_up: AtomicBool,
     table: Mutex<ConnectionTable>,
     ended: Notify,
 }
 
+/// Interval between two checks whether memory is free again, while no connection can be closed for it.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 impl Connections {
     /// Returns an empty set.
     pub(super) fn new(max_open: usize, memory: MemoryBudget) -> Arc<Connections> {
-        Arc::new(Connections { max_open, memory, table: Mutex::default(), ended: Notify::new() })
+        Arc::new(Connections {
+            max_open,
+            memory,
+            was_memory_used_up: AtomicBool::new(false),
+            table: Mutex::default(),
+            ended: Notify::new(),
+        })
     }
 
     fn table(&self) -> MutexGuard<'_, ConnectionTable> {
@@ -47,6 +61,10 @@
                 }
                 Capacity::NotBefore(not_before) => not_before,
             };
+            let not_before = match not_before {
+                None if self.memory.is_heap_full() => Some(Instant::now() + MEMORY_CHECK_INTERVAL),
+                not_before => not_before,
+            };
             match not_before {
                 Some(not_before) => tokio::select! { () = ended => {} () = sleep_until(not_before) => {} },
                 None => ended.await,
@@ -57,7 +75,10 @@
     /// Returns whether there is capacity. Closes `candidate` if it is still the connection to close.
     fn capacity_now(&self, candidate: Option<u64>) -> Capacity {
         let (mut table, now) = (self.table(), Instant::now());
-        match table.capacity(self.max_open, now) {
+        // While all memory is in use, a connection is accepted only in place of another one.
+        let max_open =
+            if self.memory.is_heap_full() { table.open.len().min(self.max_open) } else { self.max_open };
+        match table.capacity(max_open, now) {
             Capacity::AfterClosing(id) if candidate == Some(id) => {
                 let is_idle = table.open.get(&id).is_some_and(|e| e.stage == Stage::Idle);
                 let counter = if is_idle {
@@ -67,7 +88,7 @@
                 };
                 counter.increment();
                 table.close(id);
-                table.capacity(self.max_open, now)
+                table.capacity(max_open, now)
             }
             capacity => capacity,
         }
@@ -83,12 +104,25 @@
         }
         self.evict_for_memory(&mut table, &self.memory.requests, Stage::Unfinished, now);
         self.evict_for_memory(&mut table, &self.memory.responses, Stage::Responding, now);
+        drop(table);
+        self.log_memory_state();
+    }
+
+    /// Logs when the budget is used up, and when it is free again.
+    fn log_memory_state(&self) {
+        let is_used_up = self.memory.is_used_up();
+        if self.was_memory_used_up.swap(is_used_up, Relaxed) != is_used_up {
+            let state = if is_used_up { "used up" } else { "free again" };
+            info!("memory: the budget is {state}: {}", self.memory.json());
+        }
     }
 
     /// Closes connections at `stage` that hold memory of `pool` and progressed least, one for each caller that waits.
     fn evict_for_memory(&self, table: &mut ConnectionTable, pool: &BytePool, stage: Stage, now: Instant) {
         for id in table.memory_holders(stage, pool.waiting(), now) {
             COUNTERS.memory_evicted.increment();
+            let reserved = pool.reserved();
+            exchange_info!("connection {id} closed for memory: {stage:?}, {reserved} bytes reserved by all");
             let downstream = table.open.get(&id).and_then(|entry| entry.downstream.clone());
             if let Some(downstream) = downstream.filter(|_| stage == Stage::Unfinished) {
                 downstream.reject_unfinished();
--- a/src/net/listener/downstream_io.rs
+++ b/src/net/listener/downstream_io.rs
@@ -5,12 +5,13 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::BytesMut;
+use futures_util::task::AtomicWaker;
 use futures_util::FutureExt;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -25,6 +26,7 @@
 use crate::net::runtime::bounded_read::poll_read_at_most;
 use crate::net::runtime::memory_budget::{BytePool, HeadAllowance};
 use crate::net::runtime::socket_errors;
+use crate::net::streamed_body::MAX_UNWRITTEN_BYTES;
 
 /// Maximum number of bytes read ahead while a request is in flight. Clients send one request at a time, so what goes
 /// beyond that is discarded and the connection closes after the response.
@@ -48,6 +50,10 @@
     is_reading_body: AtomicBool,
     /// Whether the current response is passed on while it arrives.
     is_streaming: AtomicBool,
+    /// Bytes of that response that were taken from the backend and have not been written, framing not subtracted.
+    unwritten: AtomicUsize,
+    /// Wakes the response when bytes of it have been written.
+    written: AtomicWaker,
 }
 
 impl Downstream {
@@ -61,6 +67,8 @@
             has_discarded: AtomicBool::new(false),
             is_reading_body: AtomicBool::new(false),
             is_streaming: AtomicBool::new(false),
+            unwritten: AtomicUsize::new(0),
+            written: AtomicWaker::new(),
         })
     }
 
@@ -129,9 +137,33 @@
 
     /// Records whether the current response is passed on while it arrives.
     pub(super) fn set_streaming(&self, is_streaming: bool) {
+        self.unwritten.store(0, Relaxed);
         self.is_streaming.store(is_streaming, Relaxed);
     }
 
+    /// Records that a part of a streamed response was handed to the HTTP library.
+    pub(super) fn record_unwritten(&self, bytes: usize) {
+        self.unwritten.fetch_add(bytes, Relaxed);
+    }
+
+    /// Waits until the HTTP library has written most of the streamed response that it was handed.
+    pub(super) fn poll_mostly_written(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.unwritten.load(Relaxed) < MAX_UNWRITTEN_BYTES {
+            return Poll::Ready(());
+        }
+        self.written.register(cx.waker());
+        Poll::Pending
+    }
+
+    /// Records that the socket accepted bytes of a streamed response.
+    fn record_streamed_bytes(&self, count: usize) {
+        let unwritten = self.unwritten.load(Relaxed);
+        self.unwritten.store(unwritten.saturating_sub(count), Relaxed);
+        if unwritten >= MAX_UNWRITTEN_BYTES {
+            self.written.wake();
+        }
+    }
+
     /// Answers a request that is not complete yet, as far as the client can take it at once.
     pub(super) fn reject_unfinished(&self) {
         let _ = self.stream().inner().try_write(EVICTED_RESPONSE);
@@ -203,7 +235,10 @@
             return;
         }
         match written {
-            Poll::Ready(_) => self.entry.set_stage(Stage::Responding),
+            Poll::Ready(written) => {
+                self.downstream.record_streamed_bytes(*written.as_ref().unwrap_or(&0));
+                self.entry.set_stage(Stage::Responding);
+            }
             Poll::Pending => _ = self.entry.advance_stage(Stage::InFlight, Stage::Responding),
         }
     }
--- a/src/net/listener/handler/tests.rs
+++ b/src/net/listener/handler/tests.rs
@@ -29,7 +29,7 @@
         max_timeout: Duration::from_secs(8),
         open_ids: OpenRequestIds::default(),
         stats: Arc::new(AdminStats::new(["read"])),
-        memory: MemoryBudget::new(0, 0),
+        memory: MemoryBudget::new(1 << 20, usize::MAX),
     };
     (routes(listener), mailbox, phase_sender)
 }
--- a/src/net/listener/request_head.rs
+++ b/src/net/listener/request_head.rs
@@ -2,11 +2,16 @@
 //!
 //! Values that no normal client sends (out of the settings' range, or repeated) are rejected here, so that they can't
 //! influence decisions, in particular not in the name of another customer.
+//!
+//! A parsed head of many short fields takes several times its bytes, and its values share the buffer that it was read
+//! into. So all that is needed of a head is copied, and nothing of it is kept while its request waits.
 
 use std::time::Duration;
 
 use axum::http::request::Parts;
+use axum::http::uri::PathAndQuery;
 use axum::http::{header, HeaderMap, HeaderValue, Method};
+use bytes::Bytes;
 use sedgestack::Idempotency;
 
 use super::request_error::RequestError;
@@ -15,8 +20,12 @@
 /// Customer numbers are below this limit.
 const CUSTOMER_LIMIT: u64 = 1 << 33;
 
-/// The path and headers of a request, parsed.
+/// What is needed of a request's head, copied from it.
 pub(super) struct RequestHead {
+    pub(super) method: Method,
+    pub(super) path: PathAndQuery,
+    /// Length of the body. A request without a Content-Length has none.
+    pub(super) body_length: u64,
     pub(super) class: usize,
     pub(super) plan: usize,
     pub(super) customer: u64,
@@ -62,21 +71,50 @@
         let plan = single_text(headers, "x-contract").and_then(|n| listener.names.plan(n));
         let plan = required(plan, "expected one X-Contract header with a known plan")?;
         // The platform defines no format for the id, so it is forwarded as received.
-        let id = single_value(headers, "x-request-id").cloned();
+        let id = single_value(headers, "x-request-id").map(copied);
         let id = required(id, "expected one X-Request-Id header")?;
         let timeout_ms = single_text(headers, "x-deadline-ms").and_then(parse_milliseconds);
         let timeout_ms = required(timeout_ms, "expected one X-Deadline-Ms header with a whole number")?;
         let metering = single_text(headers, "x-metering").and_then(|t| Metering::parse(listener, t));
         let metering =
             required(metering, "expected one X-Metering header with units, spread and first in range")?;
-        let idempotency_key = single_value(headers, "idempotency-key").cloned();
+        let idempotency_key = single_value(headers, "idempotency-key").map(copied);
         let is_retry = single_text(headers, "x-retry") == Some("1");
         check_class_rules(listener.idempotency[class], parts, idempotency_key.is_some())?;
         let timeout = Duration::from_millis(timeout_ms.into()).min(listener.max_timeout);
-        Ok(RequestHead { class, plan, customer, metering, is_retry, timeout, id, idempotency_key })
+        Ok(RequestHead {
+            method: parts.method.clone(),
+            path: copied_path(parts)?,
+            body_length: announced_length(headers),
+            class,
+            plan,
+            customer,
+            metering,
+            is_retry,
+            timeout,
+            id,
+            idempotency_key,
+        })
     }
 }
 
+/// Returns a copy that does not share the buffer of the head.
+fn copied(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).expect("the bytes are those of a header value")
+}
+
+/// Returns a copy of the path and query that does not share the buffer of the head.
+fn copied_path(parts: &Parts) -> Result<PathAndQuery, RequestError> {
+    let path = parts.uri.path_and_query().ok_or(RequestError::UnknownPath)?;
+    let copy = Bytes::copy_from_slice(path.as_str().as_bytes());
+    PathAndQuery::from_maybe_shared(copy).map_err(|_| RequestError::UnknownPath)
+}
+
+fn announced_length(headers: &HeaderMap) -> u64 {
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    length.unwrap_or(0)
+}
+
 fn expect(condition: bool, expected: &'static str) -> Result<(), RequestError> {
     if condition {
         Ok(())
--- a/src/net/runtime/memory_budget.rs
+++ b/src/net/runtime/memory_budget.rs
@@ -1,7 +1,8 @@
 //! The budget for bytes that the process buffers for its peers, so that slow ones can't exceed its memory limit.
 //!
-//! The limit covers the program, a small guaranteed part for each connection, and the budget. Whoever buffers more than
-//! the guaranteed part reserves the bytes first and is not read from until it has them.
+//! `memory_plan` divides the limit into a guaranteed part for each connection and this budget, among others. Whoever
+//! buffers more than the guaranteed part reserves the bytes first and is not read from until it has them. What the
+//! allocator has handed out is compared with the limit as well: while it is reached, nothing new is let in.
 
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
@@ -12,20 +13,15 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::PollSemaphore;
 
+use crate::net::runtime::heap;
 use crate::net::runtime::metrics::COUNTERS;
 
-/// Bytes that the program and its endpoint list need, with 3,200 backends.
-const PROGRAM_BYTES: usize = 9 << 20;
-/// Bytes that a connection holds besides its reservations: its task, its buffers and the buffers of the HTTP library.
-const CONNECTION_BYTES: usize = 20 << 10;
-/// Minimum budget of each direction: for some of the largest heads and streamed bodies.
-const MIN_POOL_BYTES: usize = 1 << 20;
 /// Bytes of a head that are read without a reservation. The initial buffer of the HTTP library holds as many.
 const GUARANTEED_HEAD_BYTES: usize = 8 << 10;
 /// Bytes that a longer head reserves: the buffer of the HTTP library doubles until it holds 64 KiB and a further read.
 const LONG_HEAD_BYTES: usize = 112 << 10;
 /// Bodies up to this size need no reservation.
-pub const GUARANTEED_BODY_BYTES: usize = 4 << 10;
+pub const GUARANTEED_BODY_BYTES: usize = 1 << 10;
 
 /// A number of bytes that may be reserved, shared by all connections of one direction.
 #[derive(Debug)]
@@ -60,6 +56,12 @@
         self.waiting.load(Relaxed)
     }
 
+    /// Number of bytes that may be reserved.
+    #[cfg(test)]
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
     /// Number of bytes that are reserved.
     pub fn reserved(&self) -> usize {
         self.capacity - self.available.available_permits()
@@ -125,19 +127,37 @@
     pub requests: Arc<BytePool>,
     /// For heads and bodies of backends' responses.
     pub responses: Arc<BytePool>,
+    /// Bytes that may be allocated, reserved ones included.
+    heap_limit: usize,
 }
 
 impl MemoryBudget {
-    /// Divides `limit` bytes of a process with at most `connections` connections.
-    pub fn new(limit: usize, connections: usize) -> MemoryBudget {
-        let budget = limit.saturating_sub(PROGRAM_BYTES + connections * CONNECTION_BYTES);
-        let pool = || BytePool::new((budget / 2).max(MIN_POOL_BYTES));
-        MemoryBudget { requests: pool(), responses: pool() }
+    /// Creates a budget of `pool` bytes for each direction, for a process that may allocate `heap_limit` bytes.
+    pub fn new(pool: usize, heap_limit: usize) -> MemoryBudget {
+        let (requests, responses) = (BytePool::new(pool), BytePool::new(pool));
+        MemoryBudget { requests, responses, heap_limit }
+    }
+
+    /// Whether as much is allocated as may be, so that no further connection or request is let in.
+    pub fn is_heap_full(&self) -> bool {
+        heap::allocated() >= self.heap_limit
+    }
+
+    /// Whether a caller waits for a reservation, or nothing new is let in.
+    pub fn is_used_up(&self) -> bool {
+        self.requests.waiting() > 0 || self.responses.waiting() > 0 || self.is_heap_full()
     }
 
-    /// Returns the bytes reserved and the number of waiting callers, by direction, as JSON.
+    /// Returns the bytes reserved and the number of waiting callers, by direction, the bytes allocated and their limit,
+    /// and the size of the process (0 where the system does not tell), as JSON.
     pub fn json(&self) -> Value {
-        json!({"requests": self.requests.json(), "responses": self.responses.json()})
+        json!({
+            "requests": self.requests.json(),
+            "responses": self.responses.json(),
+            "allocated": heap::allocated(),
+            "allocated_limit": self.heap_limit,
+            "resident": heap::resident(),
+        })
     }
 }
 
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -16,9 +16,10 @@
 /// Memory reserved for a request whose body is streamed: the start that is kept, a part under way, and the write buffer
 /// of the HTTP library.
 pub const REQUEST_STREAM_MEMORY_BYTES: usize = 2 * MAX_WHOLE_BODY_BYTES;
-/// Memory reserved for a streamed response: its first part, the window, a part under way, and the write buffer of the HTTP
-/// library.
-pub const RESPONSE_STREAM_MEMORY_BYTES: usize = 2 * MAX_WHOLE_BODY_BYTES;
+/// Memory reserved for a streamed response: its first part, the window, a part under way, and [`MAX_UNWRITTEN_BYTES`].
+pub const RESPONSE_STREAM_MEMORY_BYTES: usize = MAX_WHOLE_BODY_BYTES;
+/// Number of bytes of a streamed response that may wait in the HTTP library's write buffer before a further part is taken.
+pub const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 /// Number of parts, of 8 KiB at most, that wait between the sender and the receiver.
 pub const WINDOW_PARTS: usize = 2;
 
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -3,7 +3,6 @@
 use axum::http::{header, response, HeaderMap, HeaderName, Request, StatusCode};
 use bytes::Bytes;
 use sedgestack::Outcome;
-use tokio::time::Instant;
 
 use super::attempt::Attempt;
 use super::attempt_body::AttemptBody;
@@ -71,7 +70,7 @@
         pool: pool.clone(),
         body: start.body,
         read,
-        last_part_at: Instant::now(),
+        last_part_at: start.last_part_at,
         is_announced: start.length.is_some(),
         forward: attempt.forward.clone(),
         deadline: attempt.deadline,
--- a/src/net/upstream/response_body.rs
+++ b/src/net/upstream/response_body.rs
@@ -44,6 +44,8 @@
     pub(super) body: Incoming,
     pub(super) length: Option<u64>,
     pub(super) memory: Reservation,
+    /// When the last part arrived, or the head if there was none.
+    pub(super) last_part_at: Instant,
 }
 
 /// What the head of a response says about the length of its body.
@@ -96,6 +98,7 @@
     collected: BytesMut,
     reservation: Option<Reservation>,
     first_part_at: Option<Instant>,
+    last_part_at: Instant,
 }
 
 impl<'a> BodyReader<'a> {
@@ -115,6 +118,7 @@
             collected: BytesMut::new(),
             reservation: None,
             first_part_at: None,
+            last_part_at: Instant::now(),
         }
     }
 
@@ -160,7 +164,8 @@
     /// Adds a part. Reserves memory for a body that is not small.
     async fn add(&mut self, data: &[u8]) {
         self.progress.record_answer_part(data.len(), self.class.max_silence());
-        self.first_part_at.get_or_insert_with(Instant::now);
+        self.last_part_at = Instant::now();
+        self.first_part_at.get_or_insert(self.last_part_at);
         let is_small = self.collected.len() + data.len() <= GUARANTEED_BODY_BYTES;
         if !is_small && self.reservation.is_none() {
             let (buffered, reserved) = match (self.class, self.length) {
@@ -192,7 +197,8 @@
             None => self.memory.reserve(RESPONSE_STREAM_MEMORY_BYTES).await,
         };
         let first = self.collected.freeze();
-        ReadBody::Long(LongBody { first, body: self.body, length: self.length, memory })
+        let last_part_at = self.last_part_at;
+        ReadBody::Long(LongBody { first, body: self.body, length: self.length, memory, last_part_at })
     }
 
     fn into_whole(self) -> ReadBody {
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -194,7 +194,7 @@
             sockets,
             control,
             stats,
-            memory: MemoryBudget::new(0, 0),
+            memory: MemoryBudget::new(1 << 20, usize::MAX),
             pass_on_margin: Duration::from_millis(30),
         }),
         mailbox,
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -36,6 +36,7 @@
 use crate::net::runtime::clock::Clock;
 use crate::net::runtime::handover;
 use crate::net::runtime::memory_budget::MemoryBudget;
+use crate::net::runtime::memory_plan::{ConnectionLimits, MemoryPlan};
 use crate::net::runtime::shutdown::{Phase, ShutdownDeadline, Signals};
 use crate::net::upstream::UpstreamShared;
 
@@ -101,9 +102,8 @@
     let (messages, mailbox) = mpsc::channel(MESSAGE_MAILBOX);
     let admin_listener = bind_admin(&config).await?;
     let stats = Arc::new(AdminStats::new(config.settings.classes.iter().map(|class| class.name.as_str())));
-    let connections = config.max_downstream_connections + config.upstream_sockets;
-    let memory = MemoryBudget::new(config.memory_bytes, connections);
-    let upstream = Arc::new(upstream_shared(&config, &messages, &stats, &memory));
+    let MemoryPlan { connections, budget: memory, .. } = plan_memory(&config);
+    let upstream = Arc::new(upstream_shared(&config, &messages, &stats, &memory, connections.upstream));
     let (address_updates, addresses) = watch::channel(config.addresses);
     let counter = start_quota_counter(&config, &addresses, &messages);
     let tier = tier.map(|settings| with_configured_rules(settings, &config)).transpose()?;
@@ -168,7 +168,7 @@
     );
     let address = config.listen;
     tokio::select! {
-        served = listener::serve(address, config.max_downstream_connections, listener) => {
+        served = listener::serve(address, connections.downstream, listener) => {
             served.map_err(|source| RunError::Listen { address, source })
         }
         () = signals.handle(phase, address_updates, longest_deadline, shutdown_deadline) => Ok(()),
@@ -176,6 +176,24 @@
     }
 }
 
+/// Divides the memory limit, and logs where fewer connections fit it than the descriptors allow.
+fn plan_memory(config: &Config) -> MemoryPlan {
+    let by_descriptors =
+        ConnectionLimits { downstream: config.max_downstream_connections, upstream: config.upstream_sockets };
+    let plan = MemoryPlan::new(config.memory_bytes, by_descriptors);
+    if plan.connections != by_descriptors {
+        info!(
+            "memory: limits.memory_mb allows {} connections of clients and {} to backends at a time, limits.sockets {} \
+             and {}",
+            plan.connections.downstream,
+            plan.connections.upstream,
+            by_descriptors.downstream,
+            by_descriptors.upstream,
+        );
+    }
+    plan
+}
+
 /// Settings of a limiter that belongs to a tier.
 struct Tier {
     settings: TierSettings,
@@ -216,12 +234,13 @@
     messages: &mpsc::Sender<Message>,
     stats: &Arc<AdminStats>,
     memory: &MemoryBudget,
+    max_connections: usize,
 ) -> UpstreamShared {
     UpstreamShared {
         names: config.names.clone(),
         connect_timeout: config::to_duration(config.limits.connect_timeout),
         keepalive: config::to_duration(config.limits.keepalive),
-        sockets: Arc::new(Semaphore::new(config.upstream_sockets)),
+        sockets: Arc::new(Semaphore::new(max_connections)),
         control: messages.clone(),
         stats: stats.clone(),
         memory: memory.clone(),
--- a/tests/compatibility/daemon.rs
+++ b/tests/compatibility/daemon.rs
@@ -209,6 +209,15 @@
     assert_eq!(found, recorded, "{name}");
 }
 
+/// Replaces the numbers of the process's sizes in memory, which differ between runs.
+pub fn without_sizes(text: &str) -> String {
+    ["\"allocated\":", "\"resident\":"].into_iter().fold(text.to_string(), |text, key| {
+        let Some((before, after)) = text.split_once(key) else { return text };
+        let after = after.trim_start_matches(|character: char| character.is_ascii_digit());
+        format!("{before}{key}#{after}")
+    })
+}
+
 /// Returns the distinct lines in sorted order, normalized. How often a line is logged, and the order in which parts of
 /// the daemon log, differ between runs.
 pub fn distinct_lines(directory: &TestDirectory, lines: &[String]) -> String {
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -13,6 +13,7 @@
 mod long_answers;
 mod long_requests;
 mod memory;
+mod memory_crowds;
 mod paced_answers;
 mod pool;
 #[cfg(all(target_arch = "x86_64", target_os = "linux"))]
--- /dev/null
+++ b/tests/limiter/memory_crowds.rs
@@ -0,0 +1,218 @@
+//! Crowds of other kinds than in `memory`: heads of many short fields, alone and before a body, slow readers, and all of
+//! them at once, also with half of the smallest memory limit. The process stays within its limit, what the allocator has
+//! handed out stays within what the memory plan accounts for, and other clients are served.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::harness::*;
+
+/// Time for which a crowd stays.
+const CROWD_TIME: Duration = Duration::from_secs(3);
+/// Time within which a sound small request is answered beside a crowd.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same with half of the smallest memory limit, where fewer connections are open at a time: the client's deadline.
+const DEADLINE: Duration = Duration::from_secs(8);
+/// Length of the answers to requests of the crowd.
+const LONG_ANSWER: usize = 2_000_000;
+
+/// What a client of a crowd sends before it stops.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    /// A head of 90 short fields and most of a short body.
+    ShortFieldsAndBody,
+    /// The same head and half of a long body.
+    ShortFieldsAndLongBody,
+    /// The same head, not ended.
+    ShortFieldsUnended,
+    /// A head of 90 fields of 40 bytes, and half of a body that is read whole.
+    FieldsAndMiddleBody,
+    /// A request whose long answer is not read.
+    UnreadAnswer,
+    /// Most of the largest body that is read whole.
+    LargeBody,
+}
+
+const KINDS: [Kind; 6] = [
+    Kind::ShortFieldsAndBody,
+    Kind::ShortFieldsAndLongBody,
+    Kind::ShortFieldsUnended,
+    Kind::FieldsAndMiddleBody,
+    Kind::UnreadAnswer,
+    Kind::LargeBody,
+];
+
+impl Kind {
+    fn request(self) -> Vec<u8> {
+        let short_fields: String = (0..90).map(|n| format!("a{n}: b\r\n")).collect();
+        let fields: String = (0..90).map(|n| format!("abcdefgh{n}: {}\r\n", "y".repeat(28))).collect();
+        match self {
+            Kind::ShortFieldsAndBody => post(&short_fields, 4_096, 4_000),
+            Kind::ShortFieldsAndLongBody => post(&short_fields, 1_000_000, 500_000),
+            Kind::ShortFieldsUnended => {
+                let request = post(&short_fields, 4_096, 0);
+                request[..request.len() - 2].to_vec()
+            }
+            Kind::FieldsAndMiddleBody => post(&fields, 60_000, 30_000),
+            Kind::UnreadAnswer => post("", 0, 0),
+            Kind::LargeBody => post("", 64 << 10, 65_000),
+        }
+    }
+}
+
+/// Returns a request of the class `once` with a body of `length` bytes, of which `sent` are there.
+fn post(fields: &str, length: usize, sent: usize) -> Vec<u8> {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let id = NEXT.fetch_add(1, Relaxed);
+    let head = format!(
+        "POST /once/00000000b4d65521 HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: 7b1f03aa{id:08x}\r\n\
+         X-Class: once\r\nX-Contract: large\r\nX-Deadline-Ms: 8000\r\nX-Metering: units=1,spread=1,first=0\r\n\
+         Content-Length: {length}\r\n{fields}\r\n"
+    );
+    [head.as_bytes(), &vec![b'x'; sent]].concat()
+}
+
+/// Starts a limiter with 1,024 descriptors whose backend gives long answers in the class `once` and short ones otherwise.
+fn start(memory_mb: u64) -> Limiter {
+    let backend = Backend::start(|stream| {
+        let body = vec![b'x'; LONG_ANSWER];
+        let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {LONG_ANSWER}\r\n\r\n");
+        let _ = stream.write_all(&body);
+    });
+    let (discovery, _push) = discovery();
+    let (counter, _) = quota_counter(true);
+    let mut config = config(discovery, counter, vec![backend.entry("s-1", "Ready")]);
+    let mut once = config["settings"]["profiles"][0].clone();
+    (once["name"], once["repeat"]) = (json!("once"), json!("unsafe"));
+    config["settings"]["profiles"].as_array_mut().expect("a list").push(once);
+    config["ops"] = json!("127.0.0.1:0");
+    config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024});
+    config["settings"]["plans"][1]["rate"] = json!(1e6);
+    config["settings"]["plans"][1]["mostAtOnce"] = json!(1e6);
+    let limiter = Limiter::start(&config);
+    limiter.wait_until_ready();
+    limiter
+}
+
+/// Connects `count` clients, of which number N sends what `request(N)` returns.
+fn connect(limiter: &Limiter, count: usize, request: impl Fn(usize) -> Vec<u8>) -> Vec<TcpStream> {
+    let mut crowd = Vec::new();
+    for n in 0..count {
+        let mut stream = TcpStream::connect(limiter.address).expect("the kernel accepts");
+        stream.set_nonblocking(true).expect("a socket");
+        let _ = stream.write(&request(n));
+        crowd.push(stream);
+    }
+    crowd
+}
+
+/// Asserts that what the allocator has handed out is within its limit, and returns it.
+fn allocated_within_limit(limiter: &Limiter) -> u64 {
+    let stats: Value = serde_json::from_str(&limiter.call_admin("GET", "stats").body).expect("JSON");
+    let number = |name: &str| stats["memory"][name].as_u64().expect("a number");
+    assert!(number("allocated") <= number("allocated_limit"), "{}", stats["memory"]);
+    number("allocated")
+}
+
+/// Asserts that the process stays within `memory_mb` while the crowd is there, and answers another client.
+fn assert_limit_kept(memory_mb: u64, clients: usize, request: impl Fn(usize) -> Vec<u8>, context: &str) {
+    let answer_timeout = if memory_mb < 32 { DEADLINE } else { ANSWER_TIMEOUT };
+    let mut limiter = start(memory_mb);
+    let crowd = connect(&limiter, clients, request);
+    let ends_at = Instant::now() + CROWD_TIME;
+    while Instant::now() < ends_at {
+        let started = Instant::now();
+        assert_eq!(limiter.request("GET /nowhere HTTP/1.1\r\n\r\n").status(), 404, "{context}");
+        assert!(started.elapsed() < answer_timeout, "{context}: answered after {:?}", started.elapsed());
+        allocated_within_limit(&limiter);
+        thread::sleep(Duration::from_millis(50));
+    }
+    let peak = limiter.proc_status("VmHWM");
+    assert!(peak <= memory_mb << 10, "{context}: {peak} kB; {}", limiter.counters());
+    drop(crowd);
+}
+
+fn assert_each_kind_fits(memory_mb: u64, clients: usize) {
+    for kind in KINDS {
+        let context = format!("{clients} x {kind:?}, {memory_mb} MB");
+        assert_limit_kept(memory_mb, clients, |_| kind.request(), &context);
+    }
+}
+
+/// Guards against a process that is killed for memory by clients that send heads of very many short fields and stop.
+#[test]
+fn crowds_of_700_of_each_kind_fit_the_smallest_memory_limit() {
+    assert_each_kind_fits(32, 700);
+}
+
+/// Guards against a process that is killed for memory where half of the smallest limit is all that there is.
+#[test]
+fn crowds_of_700_of_each_kind_fit_half_of_the_smallest_memory_limit() {
+    assert_each_kind_fits(16, 700);
+}
+
+/// Guards against a process that is killed for memory by slow clients of several kinds at once.
+#[test]
+fn mixed_crowd_of_940_fits_the_memory_limit() {
+    for memory_mb in [16, 32] {
+        let request = |n: usize| KINDS[n % KINDS.len()].request();
+        assert_limit_kept(memory_mb, 940, request, &format!("940 mixed, {memory_mb} MB"));
+    }
+}
+
+/// The start must say where fewer connections fit the memory limit than the descriptors allow.
+#[test]
+fn start_says_that_fewer_connections_fit_the_memory_limit() {
+    let limiter = start(16);
+    limiter.signal("TERM");
+    let (_, log) = limiter.wait_for_exit();
+    assert!(!log.is_empty());
+}
+
+/// Guards against clients that read slowly, but do read, being cut off beside a crowd that reads nothing.
+#[test]
+fn slow_readers_beside_a_crowd_get_their_whole_answers() {
+    /// Rate at which they read, in bytes per second: the whole answer takes 4 s.
+    const RATE: usize = 500_000;
+    const READERS: usize = 4;
+    let limiter = start(32);
+    let crowd_is_here = AtomicBool::new(true);
+    thread::scope(|scope| {
+        let readers: Vec<_> = (0..READERS).map(|_| scope.spawn(|| read_slowly(&limiter, RATE))).collect();
+        scope.spawn(|| {
+            while crowd_is_here.load(Relaxed) {
+                let crowd = connect(&limiter, 300, |_| Kind::UnreadAnswer.request());
+                thread::sleep(Duration::from_secs(1));
+                drop(crowd);
+            }
+        });
+        let read: Vec<usize> = readers.into_iter().map(|reader| reader.join().expect("a reader")).collect();
+        crowd_is_here.store(false, Relaxed);
+        assert_eq!(read, vec![LONG_ANSWER; READERS]);
+    });
+}
+
+/// Reads an answer at `rate` bytes per second, and returns how many bytes of its body came.
+fn read_slowly(limiter: &Limiter, rate: usize) -> usize {
+    let mut stream = limiter.connect().into_stream();
+    stream.write_all(&post("", 0, 0)).expect("the limiter reads");
+    let started = Instant::now();
+    let (mut bytes, mut buffer) = (Vec::new(), vec![0; 16 << 10]);
+    while let Ok(count @ 1..) = stream.read(&mut buffer) {
+        bytes.extend_from_slice(&buffer[..count]);
+        let due = Duration::from_secs_f64(bytes.len() as f64 / rate as f64);
+        thread::sleep(due.saturating_sub(started.elapsed()));
+        let head_end = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+        if head_end.is_some_and(|end| bytes.len() >= end + 4 + LONG_ANSWER) {
+            break;
+        }
+    }
+    let head_end = bytes.windows(4).position(|w| w == b"\r\n\r\n").expect("a head");
+    assert!(bytes.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&bytes[..head_end]));
+    bytes.len() - head_end - 4
+}
