Bound the number of customers by the memory limit

A client that sent under ever new names took a process to 34.3 MB of 32: a customer was dropped 20 s after its last request, one with a ceiling never.

Their number now follows from the memory limit.

--- a/src/decision/concurrency.rs
+++ b/src/decision/concurrency.rs
@@ -43,6 +43,11 @@
         !is_asking && self.in_flight < limit && now >= self.retry_at
     }
 
+    /// Whether a call to the counter is in flight.
+    pub(super) fn has_call(&self) -> bool {
+        !self.calls.is_empty()
+    }
+
     fn grant(&mut self) {
         self.reserved += 1;
         self.denials = 0;
--- a/src/decision/customers.rs
+++ b/src/decision/customers.rs
@@ -11,8 +11,6 @@
 
 /// Margin below a concurrency limit for random arrivals, as a multiple of the square root of the limit.
 const CONCURRENCY_SLACK: f64 = 0.8;
-/// Time without activity after which a customer is dropped: longer than a burst takes to refill.
-const IDLE_TIMEOUT: Micros = 20_000_000;
 /// Tolerance for rounding errors when units are compared, in units.
 const ROUNDING_TOLERANCE: f64 = 1e-9;
 
@@ -41,6 +39,16 @@
         QuotaSlice { bucket, reserved: 0.0, shared_level: quota.burst }
     }
 
+    /// Limits the levels to what has surely been refilled in `seconds`, if the customer may have been
+    /// forgotten that long ago.
+    fn refilled_for(mut self, seconds: Option<f64>, rate: f64) -> QuotaSlice {
+        if let Some(seconds) = seconds.filter(|_| self.is_limited()) {
+            self.bucket.level = self.bucket.level.min(self.bucket.rate * seconds);
+            self.shared_level = self.shared_level.min(rate * seconds);
+        }
+        self
+    }
+
     /// Whether the customer has a quota.
     pub(super) fn is_limited(&self) -> bool {
         self.bucket.rate > 0.0
@@ -89,14 +97,6 @@
     pub(super) last_active_at: Micros,
 }
 
-impl Customer {
-    /// Whether dropping the customer would lose attempts in flight, unreported usage, or the level of its
-    /// ceiling.
-    fn is_needed(&self) -> bool {
-        self.permits.in_flight > 0 || self.usage.unreported != 0.0 || self.ceiling.rate > 0.0
-    }
-}
-
 impl Limiter {
     /// Adds the customer of a request if it is new, and updates its plan and spread from the request.
     pub(super) fn update_customer(&mut self, request: &Request) {
@@ -105,10 +105,15 @@
         let spread = request.spread.clamp(1, self.settings.limiters) as f64;
         let uptime = now.saturating_sub(self.started_at.unwrap_or(now)) as f64 / SECOND;
         let (rate, capacity) = (plan.ceiling_rate / spread, plan.ceiling_burst / spread);
+        if !self.customers.contains_key(&request.customer) {
+            self.make_room_for_customer();
+        }
+        let unknown_for = self.min_time_since_forgotten();
+        let uptime = unknown_for.map_or(uptime, |time| uptime.min(time));
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             plan: request.plan,
             spread,
-            slice: QuotaSlice::even(quota, spread, now),
+            slice: QuotaSlice::even(quota, spread, now).refilled_for(unknown_for, quota.rate),
             // A new process starts with an empty ceiling, so that a restart does not refill it.
             ceiling: TokenBucket { level: (rate * uptime).min(capacity), rate, capacity, refilled_at: now },
             queues: (0..self.rotations.tiers()).map(|_| TierQueue::default()).collect(),
@@ -171,10 +176,4 @@
         }
         false
     }
-
-    /// Drops customers that have been idle for a while and hold no state worth keeping.
-    pub(super) fn forget_idle_customers(&mut self) {
-        let now = self.now;
-        self.customers.retain(|_, c| c.last_active_at + IDLE_TIMEOUT > now || c.is_needed());
-    }
 }
--- a/src/decision/engine.rs
+++ b/src/decision/engine.rs
@@ -5,6 +5,7 @@
 use super::attempts::{AttemptId, InFlightAttempt};
 use super::backends::BackendTable;
 use super::counter_budget::CounterBudget;
+use super::customer_limit::CustomerLimit;
 use super::customers::Customer;
 use super::latencies::Latencies;
 use super::load::LoadMeter;
@@ -43,6 +44,7 @@
     pub(super) requests: BTreeMap<RequestId, PendingRequest>,
     pub(super) attempts: BTreeMap<AttemptId, InFlightAttempt>,
     pub(super) customers: BTreeMap<CustomerId, Customer>,
+    pub(super) customer_limit: CustomerLimit,
     /// The customer behind each counter name that has a call in flight.
     pub(super) counter_names: BTreeMap<CounterName, CustomerId>,
     pub(super) backends: BackendTable,
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -6,6 +6,7 @@
 mod concurrency;
 mod cordons;
 mod counter_budget;
+mod customer_limit;
 mod customers;
 mod demand;
 mod engine;
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -102,7 +102,8 @@
     let (messages, mailbox) = mpsc::channel(MESSAGE_MAILBOX);
     let admin_listener = bind_admin(&config).await?;
     let stats = Arc::new(AdminStats::new(config.settings.classes.iter().map(|class| class.name.as_str())));
-    let MemoryPlan { connections, budget: memory, .. } = plan_memory(&config);
+    let MemoryPlan { connections, customers, budget: memory } = plan_memory(&config);
+    let limiter = limiter.with_max_customers(customers);
     let upstream = Arc::new(upstream_shared(&config, &messages, &stats, &memory, connections.upstream));
     let (address_updates, addresses) = watch::channel(config.addresses);
     let counter = start_quota_counter(&config, &addresses, &messages);
