End the movement of a long request's deadline with a shutdown

A client whose long body arrived slowly during a planned stop got no answer. Its deadline moves while the client is awaited, also beyond the end of the process: the shutdown had limited it only when the request was accepted.

--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -83,7 +83,7 @@
     let first = collect(&mut body, MAX_WHOLE_BODY_BYTES).await?;
     let received = first.len() as u64;
     let (parts, streamed) =
-        StreamedRequestBody::new(first, length, reservation);
+        StreamedRequestBody::new(first, length, reservation, listener.shutdown_deadline.clone());
     COUNTERS.requests_streamed.increment();
     Ok(ReadBody { body: RequestBody::Streamed(streamed), rest: Some(BodyRest { body, parts, received }) })
 }
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use crate::net::runtime::memory_budget::Reservation;
+use crate::net::runtime::shutdown::ShutdownDeadline;
 use crate::net::streamed_body::{BodyPart, WINDOW_PARTS};
 
 /// Minimum rate of a request's body in bytes per second, from the operators' pages.
@@ -20,6 +21,9 @@
 /// Minimum time between two looks at a deadline that moves while a client is awaited.
 const MIN_DEADLINE_CHECK: Duration = Duration::from_millis(1);
 
+/// Maximum time until a shutdown is noticed, which may bring a deadline forward.
+const SHUTDOWN_CHECK: Duration = Duration::from_millis(250);
+
 /// The body of a client's request.
 #[derive(Debug)]
 pub enum RequestBody {
@@ -37,6 +41,7 @@
     /// The rest, until an attempt takes it.
     rest: Mutex<Option<mpsc::Receiver<BodyPart>>>,
     client_wait: Mutex<ClientWait>,
+    shutdown: ShutdownDeadline,
     _memory: Reservation,
 }
 
@@ -49,15 +54,17 @@
 }
 
 impl StreamedRequestBody {
-    /// Creates a body of `length` bytes that begins with `first`. Returns the sender of the rest.
+    /// Creates a body of `length` bytes that begins with `first`. Returns the sender of the rest. No deadline of its
+    /// request moves beyond `shutdown`.
     pub fn new(
         first: Bytes,
         length: u64,
         memory: Reservation,
+        shutdown: ShutdownDeadline,
     ) -> (mpsc::Sender<BodyPart>, StreamedRequestBody) {
         let (sender, rest) = mpsc::channel(WINDOW_PARTS);
         let (rest, client_wait) = (Mutex::new(Some(rest)), Mutex::default());
-        (sender, StreamedRequestBody { first, length, rest, client_wait, _memory: memory })
+        (sender, StreamedRequestBody { first, length, rest, client_wait, shutdown, _memory: memory })
     }
 
     /// Takes the rest. Only the first caller receives it.
@@ -119,15 +126,16 @@
         }
     }
 
-    /// Waits until `deadline`, which moves by the time for which the client is awaited.
+    /// Waits until `deadline`, which moves by the time for which the client is awaited, but not beyond the time by which a
+    /// process that shuts down must answer.
     pub async fn wait_until(&self, deadline: Instant) {
         let RequestBody::Streamed(body) = self else { return sleep_until(deadline).await };
         loop {
-            let (due, now) = (deadline + body.waited(), Instant::now());
+            let (due, now) = (body.shutdown.cap_open(deadline + body.waited()), Instant::now());
             if now >= due {
                 return;
             }
-            sleep_until(due.max(now + MIN_DEADLINE_CHECK)).await;
+            sleep_until(due.clamp(now + MIN_DEADLINE_CHECK, now + SHUTDOWN_CHECK)).await;
         }
     }
 }
--- a/src/net/request_body/tests.rs
+++ b/src/net/request_body/tests.rs
@@ -5,7 +5,7 @@
 
 async fn body() -> (mpsc::Sender<BodyPart>, StreamedRequestBody) {
     let memory = BytePool::new(1).reserve(1).await;
-    StreamedRequestBody::new(Bytes::from_static(b"first"), 100, memory)
+    StreamedRequestBody::new(Bytes::from_static(b"first"), 100, memory, ShutdownDeadline::default())
 }
 
 /// A request whose rest was passed on must not be sent again: the rest is no longer there.
--- a/src/net/runtime/shutdown.rs
+++ b/src/net/runtime/shutdown.rs
@@ -30,10 +30,11 @@
 const LATE_AFTER: Duration = Duration::from_millis(600);
 
 /// The time by which accepted requests must be answered, set once the process is told to stop.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ShutdownDeadline(Arc<OnceLock<ShutdownTimes>>);
 
 /// Points in time of a shutdown.
+#[derive(Debug)]
 struct ShutdownTimes {
     /// Requests that arrive from here on count as late.
     late_from: Instant,
@@ -64,6 +65,11 @@
         let is_late = Instant::now() >= times.late_from;
         deadline.min(if is_late { times.answer_late_by } else { times.answer_by })
     }
+
+    /// Returns the earlier of `deadline` and the time by which requests that were accepted before must be answered.
+    pub fn cap_open(&self, deadline: Instant) -> Instant {
+        self.0.get().map_or(deadline, |times| deadline.min(times.answer_by))
+    }
 }
 
 /// Phase of the process on its way to the exit.
