Count a client's time while its body waits for memory or for the limiter

Clients got the final answer to a large request up to 1.0 s after its time: a body waited 1.5 s for memory before its time began, and each part of a long body counted the limiter's own delay as waiting for the client.

The client is now awaited only while there is room for its bytes and the socket is empty; a wait for memory ends at the client's time and counts towards it. wait_for_memory_counts_as_the_clients_time failed before (503 after 1.50 s of 0.5), passes now.

--- a/src/net/listener/downstream_io.rs
+++ b/src/net/listener/downstream_io.rs
@@ -23,6 +23,7 @@
 
 use super::connection_table::Stage;
 use super::connections::ConnectionEntry;
+use crate::net::request_body::ClientWait;
 use crate::net::runtime::bounded_read::poll_read_at_most;
 use crate::net::runtime::memory_budget::{BytePool, HeadAllowance};
 use crate::net::runtime::socket_errors;
@@ -48,6 +49,8 @@
     has_discarded: AtomicBool,
     /// Whether the head of the current request was read, and its body is being read.
     is_reading_body: AtomicBool,
+    /// For how long the client was awaited for the body of the current request.
+    pub(super) client_wait: Arc<ClientWait>,
     /// Whether the current response is passed on while it arrives.
     is_streaming: AtomicBool,
     /// Bytes of that response that were taken from the backend and have not been written, framing not subtracted.
@@ -66,6 +69,7 @@
             gone: CancellationToken::new(),
             has_discarded: AtomicBool::new(false),
             is_reading_body: AtomicBool::new(false),
+            client_wait: Arc::default(),
             is_streaming: AtomicBool::new(false),
             unwritten: AtomicUsize::new(0),
             written: AtomicWaker::new(),
@@ -132,6 +136,7 @@
 
     /// Records that the head of a request was read and that its body follows.
     pub(super) fn begin_body(&self) {
+        self.client_wait.reset();
         self.is_reading_body.store(true, Relaxed);
     }
 
@@ -219,12 +224,14 @@
             self.entry.set_holds_memory(true);
         }
         let read = poll_read_at_most(&mut self.downstream.stream(), cx, buf, limit);
-        if let Poll::Ready(Ok(count)) = read {
-            if is_reading_body {
+        match read {
+            Poll::Ready(Ok(count)) if is_reading_body => {
+                self.downstream.client_wait.set_socket_empty(false);
                 self.entry.record_body_bytes(count);
-            } else {
-                self.head.record_read(count);
             }
+            Poll::Ready(Ok(count)) => self.head.record_read(count),
+            Poll::Pending if is_reading_body => self.downstream.client_wait.set_socket_empty(true),
+            _ => {}
         }
         socket_errors::record_if_failed("front", "read", read.map_ok(|_| ()))
     }
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -102,14 +102,14 @@
         COUNTERS.memory_refused.increment();
         return RequestError::OutOfMemory.into_response();
     }
-    let ReadBody { body, rest } = match read_body(listener, head.body_length, body, connection.as_ref()).await
-    {
-        Ok(read) => read,
-        Err(error) => return error.into_response(),
-    };
+    let ReadBody { body, rest, memory_wait } =
+        match read_body(listener, head.body_length, body, connection.as_ref(), head.timeout).await {
+            Ok(read) => read,
+            Err(error) => return error.into_response(),
+        };
     // A client's time counts from the last byte of its request. For a long body, which is still arriving, it is extended
     // by the time for which the client is awaited.
-    let arrived_at = Instant::now();
+    let arrived_at = Instant::now() - memory_wait;
     // A second request with the id of an open one would reach a backend as a duplicate.
     let Some(open_id) = listener.open_ids.claim(head.id.clone()) else {
         return RequestError::AlreadyOpen.into_response();
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -3,7 +3,7 @@
 //! The start of a long body is kept, so that an attempt that got no further can be repeated. The rest passes through a
 //! bounded window to the one attempt that takes it.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,17 +40,66 @@
     pub length: u64,
     /// The rest, until an attempt takes it.
     rest: Mutex<Option<mpsc::Receiver<BodyPart>>>,
-    client_wait: Mutex<ClientWait>,
+    client_wait: Arc<ClientWait>,
     shutdown: ShutdownDeadline,
     _memory: Reservation,
 }
 
-/// For how long the limiter has waited for a client's bytes, with room for them. A client's deadline counts from the
-/// last byte of its request, so it moves by this time.
+/// For how long the limiter has waited for a client's bytes, with room for them and none in the socket. A client's
+/// deadline counts from the last byte of its request, so it moves by this time.
 #[derive(Debug, Default)]
-struct ClientWait {
-    ended: Duration,
+pub struct ClientWait(Mutex<WaitState>);
+
+#[derive(Debug, Default)]
+struct WaitState {
+    /// Whether there is room for further bytes.
+    has_room: bool,
+    /// Whether the last read found no bytes in the socket.
+    is_socket_empty: bool,
+    /// Since when both are so.
     since: Option<Instant>,
+    ended: Duration,
+}
+
+impl WaitState {
+    fn update(&mut self) {
+        if self.has_room && self.is_socket_empty {
+            self.since.get_or_insert_with(Instant::now);
+        } else if let Some(since) = self.since.take() {
+            self.ended += since.elapsed();
+        }
+    }
+}
+
+impl ClientWait {
+    fn state(&self) -> MutexGuard<'_, WaitState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts to count for another request.
+    pub fn reset(&self) {
+        *self.state() = WaitState::default();
+    }
+
+    /// Records whether there is room for further bytes.
+    pub fn set_room(&self, has_room: bool) {
+        let mut state = self.state();
+        state.has_room = has_room;
+        state.update();
+    }
+
+    /// Records whether a read found no bytes in the socket.
+    pub fn set_socket_empty(&self, is_empty: bool) {
+        let mut state = self.state();
+        state.is_socket_empty = is_empty;
+        state.update();
+    }
+
+    /// For how long the client was awaited so far.
+    pub fn waited(&self) -> Duration {
+        let state = self.state();
+        state.ended + state.since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
 }
 
 impl StreamedRequestBody {
@@ -60,10 +109,11 @@
         first: Bytes,
         length: u64,
         memory: Reservation,
+        client_wait: Arc<ClientWait>,
         shutdown: ShutdownDeadline,
     ) -> (mpsc::Sender<BodyPart>, StreamedRequestBody) {
         let (sender, rest) = mpsc::channel(WINDOW_PARTS);
-        let (rest, client_wait) = (Mutex::new(Some(rest)), Mutex::default());
+        let rest = Mutex::new(Some(rest));
         (sender, StreamedRequestBody { first, length, rest, client_wait, shutdown, _memory: memory })
     }
 
@@ -72,27 +122,14 @@
         self.rest.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
-    fn client_wait(&self) -> MutexGuard<'_, ClientWait> {
-        self.client_wait.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records that the limiter waits for the client from now on.
-    pub fn begin_client_wait(&self) {
-        self.client_wait().since = Some(Instant::now());
-    }
-
-    /// Records that bytes of the client arrived.
-    pub fn end_client_wait(&self) {
-        let mut wait = self.client_wait();
-        if let Some(since) = wait.since.take() {
-            wait.ended += since.elapsed();
-        }
+    /// For how long the client was awaited so far.
+    pub fn waited(&self) -> Duration {
+        self.client_wait.waited()
     }
 
-    /// For how long the limiter has waited for the client's bytes so far.
-    pub fn waited(&self) -> Duration {
-        let wait = self.client_wait();
-        wait.ended + wait.since.map_or(Duration::ZERO, |since| since.elapsed())
+    /// Records whether there is room for further bytes.
+    pub fn set_room(&self, has_room: bool) {
+        self.client_wait.set_room(has_room);
     }
 
     /// Time for which the limiter waits for the client at most until `received` bytes have arrived.
--- a/tests/limiter/large_fleet.rs
+++ b/tests/limiter/large_fleet.rs
@@ -12,6 +12,7 @@
 use serde_json::{json, Value};
 
 use crate::harness::*;
+use crate::throttle::TenthOfACore;
 
 /// Largest number of servers in a deployment.
 const MAX_SERVERS: usize = 3_200;
@@ -226,41 +227,6 @@
     assert_eq!(draining.request_count(), count, "requests to the draining server");
 }
 
-/// Lets the process run for 5 ms in each 50 ms until it is dropped.
-struct TenthOfACore {
-    stopped: Arc<AtomicBool>,
-    thread: Option<thread::JoinHandle<()>>,
-}
-
-impl TenthOfACore {
-    fn start(process: u32) -> TenthOfACore {
-        let stopped = Arc::new(AtomicBool::new(false));
-        let is_stopped = stopped.clone();
-        let signal = move |signal| {
-            // SAFETY: the process is a child that is not waited for before this thread has ended.
-            assert_eq!(unsafe { libc::kill(process as i32, signal) }, 0);
-        };
-        let thread = thread::spawn(move || {
-            while !is_stopped.load(Relaxed) {
-                signal(libc::SIGSTOP);
-                sleep(Duration::from_millis(45));
-                signal(libc::SIGCONT);
-                sleep(Duration::from_millis(5));
-            }
-        });
-        TenthOfACore { stopped, thread: Some(thread) }
-    }
-}
-
-impl Drop for TenthOfACore {
-    fn drop(&mut self) {
-        self.stopped.store(true, Relaxed);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
 /// Half of the servers of the largest fleet begin to drain in a burst of single changes, while requests arrive at a
 /// limiter that has a tenth of a core.
 #[test]
--- a/tests/limiter/long_requests.rs
+++ b/tests/limiter/long_requests.rs
@@ -9,6 +9,7 @@
 use serde_json::{json, Value};
 
 use crate::harness::*;
+use crate::throttle::TenthOfACore;
 
 /// Length of a body of which parts wait in the buffers of the connections.
 const LENGTH: usize = 300_000;
@@ -146,6 +147,40 @@
     writing.join().expect("the writer ends");
 }
 
+/// Guards against a final answer seconds after its time, where a backend reads a long body slowly from a limiter that gets
+/// little of the processor: the limiter took its own delays for waiting for the client.
+#[test]
+fn delays_of_the_limiter_itself_do_not_move_the_deadline() {
+    /// Longer than the buffers of the connections take.
+    const TOO_LONG: usize = 30_000_000;
+    const DEADLINE: Duration = Duration::from_millis(1_500);
+    /// Answers may come half a second late, and the limiter may be held up for 0.15 s.
+    const LATE_ANSWER_TIME: Duration = Duration::from_millis(500 + 150);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a port");
+    let address = listen_on(listener, |mut stream| {
+        let mut buffer = [0; 64 << 10];
+        while stream.read(&mut buffer).is_ok_and(|count| count > 0) {
+            thread::sleep(Duration::from_millis(2));
+        }
+    });
+    let limiter = start(vec![entry(address, "s-1", "Ready", 0)]);
+    let request = post_with_deadline(&content(TOO_LONG), DEADLINE.as_millis() as u64);
+    let mut stream = TcpStream::connect(limiter.address).expect("the limiter accepts");
+    let mut writer = stream.try_clone().expect("a second handle");
+    let throttle = TenthOfACore::start(limiter.process_id());
+    let started = Instant::now();
+    let writing = thread::spawn(move || {
+        let _ = writer.write_all(request.as_bytes());
+    });
+    let mut first = [0; 12];
+    stream.set_read_timeout(Some(HANG_TIMEOUT)).expect("a socket");
+    stream.read_exact(&mut first).expect("an answer");
+    let elapsed = started.elapsed();
+    assert!(elapsed < DEADLINE + LATE_ANSWER_TIME, "answered after {elapsed:?}: {first:?}");
+    drop((throttle, stream));
+    writing.join().expect("the writer ends");
+}
+
 /// A request whose body was passed on beyond what is kept must not be sent to another backend. The body is too long for the
 /// buffers of a connection, so its last byte is never written to the backend that breaks off.
 #[test]
--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -23,6 +23,7 @@
 mod shutdown;
 mod size;
 mod startup;
+mod throttle;
 mod told_time;
 mod upgrade;
 mod window;
--- a/tests/limiter/memory_crowds.rs
+++ b/tests/limiter/memory_crowds.rs
@@ -2,7 +2,7 @@
 //! them at once, also with half of the smallest memory limit. The process stays within its limit, what the allocator has
 //! handed out stays within what the memory plan accounts for, and other clients are served.
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::thread;
@@ -77,8 +77,15 @@
     [head.as_bytes(), &vec![b'x'; sent]].concat()
 }
 
-/// Starts a limiter with 1,024 descriptors whose backend gives long answers in the class `once` and short ones otherwise.
+/// Starts a limiter as [`configuration`] says.
 fn start(memory_mb: u64) -> Limiter {
+    let limiter = Limiter::start(&configuration(memory_mb));
+    limiter.wait_until_ready();
+    limiter
+}
+
+/// Returns the configuration of a limiter with 1,024 descriptors whose backend gives long answers.
+fn configuration(memory_mb: u64) -> Value {
     let backend = Backend::start(|stream| {
         let body = vec![b'x'; LONG_ANSWER];
         let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {LONG_ANSWER}\r\n\r\n");
@@ -94,9 +101,7 @@
     config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024});
     config["settings"]["plans"][1]["rate"] = json!(1e6);
     config["settings"]["plans"][1]["mostAtOnce"] = json!(1e6);
-    let limiter = Limiter::start(&config);
-    limiter.wait_until_ready();
-    limiter
+    config
 }
 
 /// Connects `count` clients, of which number N sends what `request(N)` returns.
@@ -165,13 +170,54 @@
     }
 }
 
+/// Guards against an answer after its client's time, where the body of a request waits until there is memory for it.
+#[test]
+fn wait_for_memory_counts_as_the_clients_time() {
+    /// Half a second, the page's allowance for a late answer, and that for sockets.
+    const LIMIT: Duration = Duration::from_millis(500 + 500 + 50);
+    /// Number of long bodies under way, which is more than there is memory for.
+    const SENDERS: usize = 16;
+    let limiter = start(16);
+    let crowd_is_here = AtomicBool::new(true);
+    thread::scope(|scope| {
+        for _ in 0..SENDERS {
+            scope.spawn(|| send_steadily(&limiter, &crowd_is_here));
+        }
+        thread::sleep(Duration::from_millis(500));
+        for _ in 0..3 {
+            let request = String::from_utf8(post("", 60_000, 60_000)).expect("text");
+            let mut client = limiter.connect();
+            let started = Instant::now();
+            client.write(&request.replace("X-Deadline-Ms: 8000", "X-Deadline-Ms: 500"));
+            let answer = client.read_answer();
+            assert!(started.elapsed() < LIMIT, "{answer:?} after {:?}", started.elapsed());
+        }
+        crowd_is_here.store(false, Relaxed);
+    });
+}
+
+/// Sends a long body just fast enough not to be closed, while `is_needed`.
+fn send_steadily(limiter: &Limiter, is_needed: &AtomicBool) {
+    let mut stream = limiter.connect().into_stream();
+    let mut sent = stream.write_all(&post("", 2_000_000, 70_000));
+    while sent.is_ok() && is_needed.load(Relaxed) {
+        thread::sleep(Duration::from_millis(50));
+        sent = stream.write_all(&[b'x'; 4_000]);
+    }
+}
+
 /// The start must say where fewer connections fit the memory limit than the descriptors allow.
 #[test]
 fn start_says_that_fewer_connections_fit_the_memory_limit() {
-    let limiter = start(16);
-    limiter.signal("TERM");
-    let (_, log) = limiter.wait_for_exit();
-    assert!(!log.is_empty());
+    let mut child = command(&configuration(16).to_string()).spawn().expect("the program starts");
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    let lines = log.lines().map_while(Result::ok);
+    let until_listening: Vec<String> =
+        lines.take_while(|line| !line.contains("front: listening on")).collect();
+    child.kill().expect("the program runs");
+    child.wait().expect("the program ends");
+    let is_told = |line: &String| line.contains("memory: limits.memory_mb allows") && line.contains("738");
+    assert!(until_listening.iter().any(is_told), "{until_listening:?}");
 }
 
 /// Guards against clients that read slowly, but do read, being cut off beside a crowd that reads nothing.
