--- a/crates/rehearse/src/soak/backend.rs
+++ b/crates/rehearse/src/soak/backend.rs
@@ -25,10 +25,8 @@
 const FILL_CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
 /// Answers up to this size may be retried by a limiter, which then closes the connection.
 const WHOLE_ANSWER_BYTES: usize = 64 << 10;
-/// Number of parts in which a long answer is written.
-const ANSWER_PARTS: usize = 12;
-/// Pause between two parts of a slow answer.
-const PART_PAUSE: Duration = Duration::from_millis(25);
+/// Length of the parts in which a long answer is written.
+const ANSWER_PART: usize = 8 << 10;
 /// Body of each request that has no long one.
 const SHORT_BODY: &[u8] = b"a thesis";
 /// Listen backlog of an unblocked listener.
@@ -227,7 +225,7 @@
     }
 }
 
-/// Writes a long answer, in parts with pauses if it is slow. If the connection ends before, returns how many bytes were
+/// Writes a long answer, at its rate. If the connection ends before, returns how many bytes were
 /// taken.
 async fn write_answer(stream: &mut TcpStream, answer: AnswerRequest) -> Result<(), usize> {
     let head = match answer.framing {
@@ -237,15 +235,15 @@
     };
     stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n").as_bytes()).await.map_err(|_| 0_usize)?;
     let mut taken = 0;
-    for part in content(answer.length).chunks(answer.length.div_ceil(ANSWER_PARTS)) {
+    for part in content(answer.length).chunks(ANSWER_PART) {
         let framed = match answer.framing {
             Framing::Chunked => [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat(),
             Framing::Length | Framing::UntilClose => part.to_vec(),
         };
         stream.write_all(&framed).await.map_err(|_| taken)?;
         taken += part.len();
-        if answer.is_slow {
-            sleep(PART_PAUSE).await;
+        if let Some(pause_ms) = (part.len() as u64).checked_div(answer.rate) {
+            sleep(Duration::from_millis(pause_ms)).await;
         }
     }
     if answer.framing == Framing::Chunked {
--- a/crates/rehearse/src/soak/body.rs
+++ b/crates/rehearse/src/soak/body.rs
@@ -12,6 +12,9 @@
 const TEXT_PERIODS: usize = 4_096;
 /// Lengths of long answers, in bytes.
 const ANSWER_LENGTHS: std::ops::RangeInclusive<usize> = 1..=1_500_000;
+/// Lengths of answers that are written slowly, in bytes, and the rates, in kilobytes per second.
+const SLOW_ANSWER_LENGTHS: std::ops::RangeInclusive<usize> = 70_000..=250_000;
+const SLOW_ANSWER_RATES: std::ops::RangeInclusive<u64> = 40..=400;
 /// Lengths of long request bodies, in bytes.
 const REQUEST_LENGTHS: std::ops::RangeInclusive<usize> = 1..=500_000;
 /// Probability that an answer or a request body is long, in a run that has long ones.
@@ -37,24 +40,27 @@
     pub length: usize,
     /// How the backend marks its end.
     pub framing: Framing,
-    /// Whether the backend writes it in parts with pauses.
-    pub is_slow: bool,
+    /// Rate at which the backend writes it, in kilobytes per second; 0 for at once.
+    pub rate: u64,
 }
 
 impl AnswerRequest {
     /// Draws a long answer, or none.
     pub fn draw(rng: &mut StdRng) -> Option<AnswerRequest> {
-        rng.random_bool(LONG_PROBABILITY).then(|| AnswerRequest {
-            length: rng.random_range(ANSWER_LENGTHS),
-            framing: *FRAMINGS.choose(rng).expect("there are framings"),
-            is_slow: rng.random_bool(0.5),
+        rng.random_bool(LONG_PROBABILITY).then(|| {
+            let is_slow = rng.random_bool(0.5);
+            AnswerRequest {
+                length: rng.random_range(if is_slow { SLOW_ANSWER_LENGTHS } else { ANSWER_LENGTHS }),
+                framing: *FRAMINGS.choose(rng).expect("there are framings"),
+                rate: if is_slow { rng.random_range(SLOW_ANSWER_RATES) } else { 0 },
+            }
         })
     }
 
     /// Returns the query that asks for the answer.
     pub fn query(&self) -> String {
         let framing = FRAMINGS.iter().position(|framing| *framing == self.framing).unwrap_or(0);
-        format!("?answer={}-{framing}-{}", self.length, u8::from(self.is_slow))
+        format!("?answer={}-{framing}-{}", self.length, self.rate)
     }
 
     /// Parses the answer that a request line asks for.
@@ -63,7 +69,7 @@
         let mut parts = query.split(' ').next()?.split('-');
         let length = parts.next()?.parse().ok()?;
         let framing = *FRAMINGS.get(parts.next()?.parse::<usize>().ok()?)?;
-        Some(AnswerRequest { length, framing, is_slow: parts.next()? == "1" })
+        Some(AnswerRequest { length, framing, rate: parts.next()?.parse().ok()? })
     }
 }
 
--- a/crates/rehearse/src/soak/crowd.rs
+++ b/crates/rehearse/src/soak/crowd.rs
@@ -7,14 +7,16 @@
 
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
-use rand::Rng;
+use rand::{Rng, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use super::body::{AnswerRequest, Framing};
 use super::client::{new_request_id, Phase};
+use super::deployment::Deployment;
 use super::records::{ClientEnd, Records, RequestRecord};
 
 /// Time for which a member holds its connection at most.
@@ -23,6 +25,8 @@
 const BODY_LENGTH: usize = 65_536;
 /// Bytes of such a body that are sent.
 const BODY_SENT: usize = 65_000;
+/// Announced length of bodies that stop before their end, behind a head of many short fields.
+const SHORT_BODY_LENGTH: usize = 4_096;
 /// Fields of a head that does not end, and the length of each.
 const FIELDS: usize = 90;
 const FIELD_LENGTH: usize = 680;
@@ -40,13 +44,15 @@
 enum Conduct {
     StopWithinBody,
     StopWithinHead,
+    StopBehindShortFields,
     SendByteByByte,
     DoNotRead,
     LeaveBehindManyBytes,
 }
 
-const CONDUCTS: [Conduct; 5] = [
+const CONDUCTS: [Conduct; 6] = [
     Conduct::StopWithinBody,
+    Conduct::StopBehindShortFields,
     Conduct::StopWithinHead,
     Conduct::SendByteByByte,
     Conduct::DoNotRead,
@@ -66,6 +72,29 @@
     pub phase: watch::Receiver<Phase>,
 }
 
+/// Starts the slow and excessive clients of the limiters at `addresses`.
+pub fn start_crowd(
+    deployment: &Deployment,
+    addresses: &[SocketAddr],
+    records: &Arc<Records>,
+    rng: &mut StdRng,
+    phase: &watch::Sender<Phase>,
+) -> Vec<JoinHandle<()>> {
+    let members = (0..deployment.crowd * addresses.len()).map(|number| {
+        let limiter = number % addresses.len();
+        let member = CrowdMember {
+            limiter,
+            address: addresses[limiter],
+            deadline: deployment.classes[0].deadline,
+            records: records.clone(),
+            rng: StdRng::seed_from_u64(rng.random()),
+            phase: phase.subscribe(),
+        };
+        tokio::spawn(member.run())
+    });
+    members.collect()
+}
+
 impl CrowdMember {
     /// Connects again and again until the clients finish.
     pub async fn run(mut self) {
@@ -93,6 +122,13 @@
                 }
                 stream.write_all(head.as_bytes()).await?;
             }
+            Conduct::StopBehindShortFields => {
+                let fields: String = (0..FIELDS).map(|number| format!("a{number}: b\r\n")).collect();
+                let head =
+                    self.post_head(&id, SHORT_BODY_LENGTH).replacen("\r\n", &format!("\r\n{fields}"), 1);
+                let body = vec![b'x'; self.rng.random_range(0..SHORT_BODY_LENGTH)];
+                stream.write_all(&[head.as_bytes(), &body].concat()).await?;
+            }
             Conduct::SendByteByByte => {
                 for byte in self.get_head(&id, "").bytes() {
                     stream.write_all(&[byte]).await?;
@@ -100,8 +136,7 @@
                 }
             }
             Conduct::DoNotRead => {
-                let answer =
-                    AnswerRequest { length: UNREAD_ANSWER, framing: Framing::Length, is_slow: false };
+                let answer = AnswerRequest { length: UNREAD_ANSWER, framing: Framing::Length, rate: 0 };
                 stream.write_all(self.get_head(&id, &answer.query()).as_bytes()).await?;
                 sleep(self.hold_time()).await;
                 return Ok(());
--- a/crates/rehearse/src/soak/run.rs
+++ b/crates/rehearse/src/soak/run.rs
@@ -18,7 +18,7 @@
 use super::backend::Backends;
 use super::checker::{check, CheckContext, Finding, Rule, StopTimes};
 use super::client::{Client, Phase};
-use super::crowd::CrowdMember;
+use super::crowd::start_crowd;
 use super::deployment::Deployment;
 use super::discovery::{Discovery, State};
 use super::lateness::LatenessMonitor;
@@ -249,28 +249,11 @@
             tokio::spawn(client.run())
         });
         let mut tasks: Vec<JoinHandle<()>> = clients.collect();
-        tasks.extend(self.start_crowd(&phase));
+        let addresses: Vec<SocketAddr> = self.limiters.iter().map(|limiter| limiter.address).collect();
+        tasks.extend(start_crowd(&self.deployment, &addresses, &self.records, &mut self.rng, &phase));
         Clients { phase, tasks }
     }
 
-    /// Starts the slow and excessive clients of all limiters.
-    fn start_crowd(&mut self, phase: &watch::Sender<Phase>) -> Vec<JoinHandle<()>> {
-        let count = self.deployment.crowd * self.limiters.len();
-        let members = (0..count).map(|number| {
-            let limiter = number % self.limiters.len();
-            let member = CrowdMember {
-                limiter,
-                address: self.limiters[limiter].address,
-                deadline: self.deployment.classes[0].deadline,
-                records: self.records.clone(),
-                rng: StdRng::seed_from_u64(self.rng.random()),
-                phase: phase.subscribe(),
-            };
-            tokio::spawn(member.run())
-        });
-        members.collect()
-    }
-
     /// Injects faults until the end of the load: replaces backends, resets watches, and silences discovery.
     async fn play_faults(&mut self) -> Result<(), Failure> {
         let ends_at = Instant::now() + self.options.load;
--- a/src/net/runtime/memory_plan.rs
+++ b/src/net/runtime/memory_plan.rs
@@ -3,6 +3,8 @@
 //! `docs/design/0009-memory.md` lists these places. The parts below add up to the limit at most. Where the descriptors
 //! would allow more connections than fit, fewer are open at a time.
 
+use crate::info;
+use crate::net::config::Config;
 use crate::net::runtime::memory_budget::MemoryBudget;
 
 /// Bytes that the program needs before it has connections, customers or a list of endpoints.
@@ -60,6 +62,21 @@
 }
 
 impl MemoryPlan {
+    /// Divides the limit of a configuration, and logs where fewer connections fit it than the descriptors allow.
+    pub fn of_config(config: &Config) -> MemoryPlan {
+        let (downstream, upstream) = (config.max_downstream_connections, config.upstream_sockets);
+        let plan = MemoryPlan::new(config.memory_bytes, ConnectionLimits { downstream, upstream });
+        let allowed = plan.connections;
+        if allowed.downstream < downstream || allowed.upstream < upstream {
+            info!(
+                "memory: limits.memory_mb allows {} connections of clients and {} to backends at a time, \
+                 limits.sockets {downstream} and {upstream}",
+                allowed.downstream, allowed.upstream,
+            );
+        }
+        plan
+    }
+
     /// Divides `limit` bytes. `by_descriptors` is how many connections the descriptors allow.
     pub fn new(limit: usize, by_descriptors: ConnectionLimits) -> MemoryPlan {
         let available = limit.saturating_sub(PROGRAM_BYTES + ENDPOINT_LIST_BYTES);
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -36,7 +36,7 @@
 use crate::net::runtime::clock::Clock;
 use crate::net::runtime::handover;
 use crate::net::runtime::memory_budget::MemoryBudget;
-use crate::net::runtime::memory_plan::{ConnectionLimits, MemoryPlan};
+use crate::net::runtime::memory_plan::MemoryPlan;
 use crate::net::runtime::shutdown::{Phase, ShutdownDeadline, Signals};
 use crate::net::upstream::UpstreamShared;
 
@@ -102,7 +102,7 @@
     let (messages, mailbox) = mpsc::channel(MESSAGE_MAILBOX);
     let admin_listener = bind_admin(&config).await?;
     let stats = Arc::new(AdminStats::new(config.settings.classes.iter().map(|class| class.name.as_str())));
-    let MemoryPlan { connections, customers, budget: memory } = plan_memory(&config);
+    let MemoryPlan { connections, customers, budget: memory } = MemoryPlan::of_config(&config);
     let limiter = limiter.with_max_customers(customers);
     let upstream = Arc::new(upstream_shared(&config, &messages, &stats, &memory, connections.upstream));
     let (address_updates, addresses) = watch::channel(config.addresses);
@@ -177,24 +177,6 @@
     }
 }
 
-/// Divides the memory limit, and logs where fewer connections fit it than the descriptors allow.
-fn plan_memory(config: &Config) -> MemoryPlan {
-    let by_descriptors =
-        ConnectionLimits { downstream: config.max_downstream_connections, upstream: config.upstream_sockets };
-    let plan = MemoryPlan::new(config.memory_bytes, by_descriptors);
-    if plan.connections != by_descriptors {
-        info!(
-            "memory: limits.memory_mb allows {} connections of clients and {} to backends at a time, limits.sockets {} \
-             and {}",
-            plan.connections.downstream,
-            plan.connections.upstream,
-            by_descriptors.downstream,
-            by_descriptors.upstream,
-        );
-    }
-    plan
-}
-
 /// Settings of a limiter that belongs to a tier.
 struct Tier {
     settings: TierSettings,
