--- a/tests/limiter/paced_answers.rs
+++ b/tests/limiter/paced_answers.rs
@@ -1,6 +1,6 @@
 //! Answers that a backend writes at its own pace in any framing, and clients that read them.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -80,6 +80,16 @@
     pub first_byte_at: Instant,
 }
 
+/// Reads once more if the call was interrupted: the system does not restart a read with a time limit.
+fn read_some(stream: &mut TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
+    loop {
+        match stream.read(buffer) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 /// Reads an answer with a length or in chunks.
 pub fn read_answer(stream: &mut TcpStream) -> ReadAnswer {
     let (mut bytes, mut buffer) = (Vec::new(), [0; 16 << 10]);
@@ -87,7 +97,7 @@
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
             break end + 4;
         }
-        let count = stream.read(&mut buffer).expect("a head");
+        let count = read_some(stream, &mut buffer).expect("a head");
         assert!(count > 0, "the limiter closed the connection without an answer");
         bytes.extend_from_slice(&buffer[..count]);
     };
@@ -102,7 +112,7 @@
     };
     let mut is_whole = is_complete(&rest);
     while !is_whole {
-        let Ok(count @ 1..) = stream.read(&mut buffer) else { break };
+        let Ok(count @ 1..) = read_some(stream, &mut buffer) else { break };
         first_byte_at.get_or_insert_with(Instant::now);
         rest.extend_from_slice(&buffer[..count]);
         is_whole = is_complete(&rest);
