--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -17,8 +17,8 @@
     BodyPart, MAX_BODY_BYTES, MAX_WHOLE_BODY_BYTES, REQUEST_STREAM_MEMORY_BYTES,
 };
 
-/// Maximum time that a request waits for the memory of its body, if its client waits as long. It is less than the time after which a connection is closed
-/// whose request does not arrive, so that the client gets an answer.
+/// Maximum time that a request waits for the memory of its body, if its client waits as long. It is less than the time
+/// after which a connection is closed whose request does not arrive, so that the client gets an answer.
 const MEMORY_TIMEOUT: Duration = Duration::from_millis(1_500);
 const ENDED_EARLY: RequestError = RequestError::Malformed("the body ended early");
 
