Reproduce answers that break off and leave their clients nothing, or look whole

Tests with real sockets, backends that break off in each framing and clients of every form of HTTP/1.

--- a/tests/limiter/main.rs
+++ b/tests/limiter/main.rs
@@ -3,6 +3,8 @@
 mod answer_begun;
 mod answer_clocks;
 mod bad_input;
+mod broken_answers;
+mod client_forms;
 mod client_leaves;
 mod cold;
 mod discovery;
