Reset the connection of a cut answer whose end its client can't tell

A client of HTTP/1.0 took a cut answer for a whole one, which is a wrong answer: a body without a length ends with its connection, and a cut one ended with an ordinary close. While such a body is under way SO_LINGER is 0 now, so whatever closes the connection resets it: a break, a client that is closed for its time or for memory, the end or the kill of the process. It is taken back once the socket has accepted the last byte.

--- a/src/net/listener/client_stream.rs
+++ b/src/net/listener/client_stream.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
+use axum::http::Version;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
@@ -21,11 +22,20 @@
 
 impl ClientStream {
     /// Starts to pass `body` on to `connection`, of which no byte has been taken yet.
+    ///
+    /// A client of HTTP/1.0 takes the end of the connection for that of a body without a length. Until such a body is
+    /// written to its last byte, the connection is reset when it is closed, also where the process is killed.
     pub(super) fn new(body: StreamedBody, connection: ClientConnection) -> ClientStream {
         let downstream = &connection.downstream;
         downstream.response().hand_over_stream();
         connection.entry.set_holds_memory(true);
-        downstream.open_request().backend = body.backend().cloned();
+        let mut request = downstream.open_request();
+        request.backend = body.backend().cloned();
+        let ends_with_connection = request.version == Version::HTTP_10 && body.size_hint().exact().is_none();
+        drop(request);
+        if ends_with_connection {
+            downstream.set_reset_on_close(true);
+        }
         ClientStream { body, connection, is_broken_off: false }
     }
 
--- a/src/net/listener/downstream_io.rs
+++ b/src/net/listener/downstream_io.rs
@@ -5,11 +5,12 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use axum::http::HeaderValue;
+use axum::http::{HeaderValue, Version};
 use bytes::BytesMut;
 use futures_util::task::AtomicWaker;
 use futures_util::FutureExt;
@@ -51,6 +52,8 @@
     response: Mutex<ResponseProgress>,
     /// Wakes the response when bytes of it have been written.
     written: AtomicWaker,
+    /// Whether the connection is reset when it is closed.
+    is_reset_on_close: AtomicBool,
     open_request: Mutex<OpenRequest>,
 }
 
@@ -71,6 +74,8 @@
 pub(super) struct OpenRequest {
     /// The value of its `X-Request-Id`.
     pub(super) id: Option<HeaderValue>,
+    /// The version of HTTP that its client speaks.
+    pub(super) version: Version,
     /// The backend whose answer is passed on.
     pub(super) backend: Option<HeaderValue>,
 }
@@ -87,6 +92,7 @@
             client_wait: Arc::default(),
             response: Mutex::default(),
             written: AtomicWaker::new(),
+            is_reset_on_close: AtomicBool::new(false),
             open_request: Mutex::default(),
         })
     }
@@ -176,8 +182,8 @@
     }
 
     /// Records that a request was read completely, and that a response to it is due.
-    pub(super) fn begin_request(&self, id: HeaderValue) {
-        *self.open_request() = OpenRequest { id: Some(id), backend: None };
+    pub(super) fn begin_request(&self, id: HeaderValue, version: Version) {
+        *self.open_request() = OpenRequest { id: Some(id), version, backend: None };
         self.response().begin_request();
     }
 
@@ -199,6 +205,16 @@
         Poll::Pending
     }
 
+    /// Sets whether the connection is reset when it is closed, whatever closes it.
+    pub(super) fn set_reset_on_close(&self, is_reset: bool) {
+        if self.is_reset_on_close.swap(is_reset, Relaxed) == is_reset {
+            return;
+        }
+        let linger = is_reset.then_some(Duration::ZERO);
+        let done = SockRef::from(self.stream().inner()).set_linger(linger);
+        let _ = done.inspect_err(|e| socket_errors::record_failure("front", "set SO_LINGER", e));
+    }
+
     /// Answers a request that is not complete yet, as far as the client can take it at once.
     pub(super) fn reject_unfinished(&self) {
         if self.response().is_open() {
@@ -307,6 +323,7 @@
     /// Records that the client's socket has accepted the whole response.
     fn on_response_written(&mut self) {
         *self.downstream.open_request() = OpenRequest::default();
+        self.downstream.set_reset_on_close(false);
         let next = if self.downstream.read_ahead().is_empty() { Stage::Idle } else { Stage::Unfinished };
         if self.entry.advance_stage(Stage::Responding, next) {
             self.entry.set_holds_memory(false);
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -117,7 +117,7 @@
     };
     if let Some(connection) = &connection {
         connection.entry.set_stage(Stage::InFlight);
-        connection.downstream.begin_request(head.id.clone());
+        connection.downstream.begin_request(head.id.clone(), head.version);
     }
     let client_gone = CancellationToken::new();
     let forward = forwarded_request(&head, open_id, body, client_gone.clone());
--- a/src/net/listener/request_head.rs
+++ b/src/net/listener/request_head.rs
@@ -10,7 +10,7 @@
 
 use axum::http::request::Parts;
 use axum::http::uri::PathAndQuery;
-use axum::http::{header, HeaderMap, HeaderValue, Method};
+use axum::http::{header, HeaderMap, HeaderValue, Method, Version};
 use bytes::Bytes;
 use sedgestack::Idempotency;
 
@@ -23,6 +23,8 @@
 /// What is needed of a request's head, copied from it.
 pub(super) struct RequestHead {
     pub(super) method: Method,
+    /// The version of HTTP that the client speaks.
+    pub(super) version: Version,
     pub(super) path: PathAndQuery,
     /// Length of the body. A request without a Content-Length has none.
     pub(super) body_length: u64,
@@ -84,6 +86,7 @@
         let timeout = Duration::from_millis(timeout_ms.into()).min(listener.max_timeout);
         Ok(RequestHead {
             method: parts.method.clone(),
+            version: parts.version,
             path: copied_path(parts)?,
             body_length: announced_length(headers),
             class,
--- a/tests/limiter/broken_answers.rs
+++ b/tests/limiter/broken_answers.rs
@@ -293,3 +293,23 @@
         let _ = stream.shutdown(Shutdown::Both);
     })
 }
+
+/// Guards against an answer that looks whole to a client of HTTP/1.0, as the process that passes it on is killed.
+#[test]
+fn kill_of_the_process_resets_an_answer_without_framing() {
+    let backend = Backend::start(|stream| {
+        write_start(stream, Framing::Chunked, 100_000, &content(50_000));
+        thread::sleep(HANG_TIMEOUT);
+    });
+    let (discovery, _push) = discovery();
+    let (counter, _) = quota_counter(true);
+    let limiter = Limiter::start(&config(discovery, counter, vec![backend.entry("s-1", "Ready")]));
+    limiter.wait_until_ready();
+    let mut client = limiter.connect();
+    client.write(&get_request("large", 1).replace("HTTP/1.1", "HTTP/1.0"));
+    let mut stream = client.into_stream();
+    let first = read_first(&mut stream);
+    limiter.signal("KILL");
+    let rest = read_to_end(&mut stream);
+    assert!(rest.is_reset, "{} bytes and an ordinary end", first + rest.bytes.len());
+}
--- a/tests/limiter/client_forms.rs
+++ b/tests/limiter/client_forms.rs
@@ -93,6 +93,12 @@
     received
 }
 
+/// Reads the first bytes of an answer. Returns how many they are.
+pub fn read_first(stream: &mut TcpStream) -> usize {
+    let mut received = ReceivedBytes { bytes: Vec::new(), is_reset: false };
+    read_more(stream, &mut received).expect("an answer")
+}
+
 /// Reads some bytes. Returns `None` at the end of the connection.
 fn read_more(stream: &mut TcpStream, received: &mut ReceivedBytes) -> Option<usize> {
     let mut buffer = [0; 16 << 10];
