Bound the margin in which an answer is passed on by the time that it guards

Callers with 23 ms left got every answer without a length passed on at its first part, as the margin before their deadline was 38 to 46 ms. One that broke off at once was then begun and broken off, in place of a retry or a 429. The margin is at most a quarter of the attempt's time until the decisions give it up. Near the deadline a first part waits for an eighth of the margin, and whatever has arrived is read before an answer is passed on, so that a break is seen.

Evidence: short_answer_broken_off_at_once_is_not_passed_on had 40 of 40 answers begun and broken off before, none now; answer_clocks and long_answers pass (debug build, idle machine).

--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -30,6 +30,7 @@
 
 pub use cordons::BackendCounts;
 pub use engine::Limiter;
+pub use queues::ANSWER_TICKS;
 
 /// Microseconds in a second.
 const SECOND: f64 = 1e6;
--- a/src/decision/queues.rs
+++ b/src/decision/queues.rs
@@ -12,7 +12,7 @@
 const MAX_QUEUED_SHARE: f64 = 0.6;
 const ANSWER_MARGIN: f64 = 2.3;
 /// Number of ticks before the client's timeout at which the final answer is sent.
-const ANSWER_TICKS: u64 = 2;
+pub const ANSWER_TICKS: u64 = 2;
 
 /// A customer's queue in one tier.
 #[derive(Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,5 +78,5 @@
 mod interface;
 pub mod platform;
 
-pub use decision::{BackendCounts, Limiter};
+pub use decision::{BackendCounts, Limiter, ANSWER_TICKS};
 pub use interface::*;
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -14,11 +14,14 @@
 use super::pool::Pool;
 use super::request::build_request;
 use super::response::exchange;
-use super::UpstreamShared;
+use super::{PassOnMargin, UpstreamShared};
 use crate::exchange_info;
 use crate::net::control::message::{AttemptOutcome, ForwardedRequest};
 use crate::net::runtime::metrics::COUNTERS;
 
+/// Largest share of an attempt's time, as a divisor, in which an answer under way is passed on for the deadline.
+const PASS_ON_MARGIN_DIVISOR: u32 = 4;
+
 /// An attempt to have a backend serve a request.
 pub struct Attempt {
     pub request: RequestId,
@@ -41,9 +44,17 @@
         self.timeout.map_or(self.deadline, |timeout| timeout.min(self.deadline))
     }
 
+    /// Returns how long before the client's deadline an answer under way is passed on: `margin` before the decisions give
+    /// the request up, or a share of the attempt's time until then where that is short.
+    pub(super) fn pass_on_margin(&self, margin: PassOnMargin) -> Duration {
+        let gives_up_at = self.deadline - margin.before_deadline;
+        let time = gives_up_at.saturating_duration_since(self.started_at);
+        margin.before_deadline + margin.before_giving_up.min(time / PASS_ON_MARGIN_DIVISOR)
+    }
+
     /// Waits until the client's deadline is `margin` away.
     pub(super) async fn wait_until_deadline_is_near(&self, margin: Duration) {
-        self.forward.body.wait_until(self.deadline - margin.min(self.deadline - self.started_at)).await;
+        self.forward.body.wait_until(self.deadline - margin).await;
     }
 
     /// Waits until a clock ends the attempt, and returns which one.
--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -46,8 +46,16 @@
     pub control: mpsc::Sender<Message>,
     pub stats: Arc<AdminStats>,
     pub memory: MemoryBudget,
-    /// How long before the client's deadline an answer under way is passed on.
-    pub pass_on_margin: Duration,
+    pub pass_on_margin: PassOnMargin,
+}
+
+/// How long before the client's deadline an answer under way is passed on.
+#[derive(Clone, Copy, Debug)]
+pub struct PassOnMargin {
+    /// How long before the deadline the decisions give a request up.
+    pub before_deadline: Duration,
+    /// How long before that the answer is passed on.
+    pub before_giving_up: Duration,
 }
 
 impl UpstreamShared {
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -46,8 +46,8 @@
     }
     record_headers(&head.headers, shared, attempt_outcome);
     let reader = BodyReader::new(head.status, body, &shared.memory.responses, connection.progress());
-    let deadline_near = attempt.wait_until_deadline_is_near(shared.pass_on_margin);
-    match reader.read(deadline_near).await {
+    let margin = attempt.pass_on_margin(shared.pass_on_margin);
+    match reader.read(attempt.wait_until_deadline_is_near(margin), margin).await {
         ReadBody::Whole(body) => {
             connection.progress().record_response_complete();
             pool.release(connection);
--- a/src/net/upstream/response_body.rs
+++ b/src/net/upstream/response_body.rs
@@ -5,16 +5,18 @@
 //! would throw it away: from a size, after a time, and at the latest shortly before the client's deadline. Until then its
 //! request can still be sent again.
 
-use std::future::Future;
+use std::future::{pending, Future};
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::http::StatusCode;
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
-use tokio::time::Instant;
+use tokio::task::yield_now;
+use tokio::time::{sleep_until, Instant};
 
 use super::exchange_progress::ExchangeProgress;
 use crate::net::runtime::memory_budget::{BytePool, Reservation, GUARANTEED_BODY_BYTES};
@@ -25,6 +27,12 @@
 /// A body without an announced length is passed on with the first part that arrives this long after its first one.
 const PASS_ON_TIME: Duration = Duration::from_millis(100);
 
+/// The pause that shows a first part near the deadline to be under way, as a share of how early the deadline is near: a
+/// short answer that breaks off mostly does so at once, and can be retried.
+const PAUSE_DIVISOR: u32 = 8;
+/// Turns of the runtime in which a break that has already arrived is read.
+const TURNS_TO_READ_A_BREAK: usize = 2;
+
 /// Time for which an answer that may be long may be silent before its attempt's timeout cuts it off, and a short one.
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 const MAX_SILENCE_OF_SHORT_BODY: Duration = Duration::from_millis(250);
@@ -88,6 +96,9 @@
     }
 }
 
+/// The next frame of a body, an error if it broke off, or `None` at its end.
+type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// Reads one response body.
 pub(super) struct BodyReader<'a> {
     body: Incoming,
@@ -99,6 +110,8 @@
     reservation: Option<Reservation>,
     first_part_at: Option<Instant>,
     last_part_at: Instant,
+    /// Whether the client's deadline is near.
+    is_deadline_near: bool,
 }
 
 impl<'a> BodyReader<'a> {
@@ -119,11 +132,16 @@
             reservation: None,
             first_part_at: None,
             last_part_at: Instant::now(),
+            is_deadline_near: false,
         }
     }
 
-    /// Reads the body whole, or until it is passed on. `deadline_near` completes shortly before the client's deadline.
-    pub(super) async fn read(mut self, deadline_near: impl Future<Output = ()>) -> ReadBody {
+    /// Reads the body whole, or until it is passed on. `deadline_near` completes `margin` before the client's deadline.
+    pub(super) async fn read(
+        mut self,
+        deadline_near: impl Future<Output = ()>,
+        margin: Duration,
+    ) -> ReadBody {
         if self.class == LengthClass::Excessive {
             return ReadBody::Broken;
         }
@@ -131,34 +149,61 @@
             self.progress.record_answer_part(0, self.class.max_silence());
         }
         let mut deadline_near = pin!(deadline_near);
-        let mut is_deadline_near = false;
-        loop {
+        let pause = margin / PAUSE_DIVISOR;
+        while !self.is_known_to_be_long() {
+            let pass_on_at = self.pass_on_at(pause);
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
-                () = &mut deadline_near, if self.class.may_be_long() && !is_deadline_near => {
-                    is_deadline_near = true;
-                    if self.class == LengthClass::Long || !self.collected.is_empty() {
-                        return self.pass_on().await;
-                    }
+                () = &mut deadline_near, if self.class.may_be_long() && !self.is_deadline_near => {
+                    self.is_deadline_near = true;
                     continue;
                 }
+                () = wait_until(pass_on_at) => break,
             };
-            let data = match frame.map(|frame| frame.map(Frame::into_data)) {
-                None => return self.into_whole(),
-                Some(Err(_)) => return ReadBody::Broken,
-                // Trailers are not passed on.
-                Some(Ok(Err(_))) => continue,
-                Some(Ok(Ok(data))) => data,
-            };
-            self.add(&data).await;
-            if is_deadline_near || self.is_known_to_be_long() {
-                return self.pass_on().await;
+            if let Some(ended) = self.take(frame).await {
+                return ended;
+            }
+        }
+        if let Some(frame) = self.frame_that_is_here().await {
+            if let Some(ended) = self.take(frame).await {
+                return ended;
             }
-            if self.collected.len() > MAX_WHOLE_BODY_BYTES {
-                return ReadBody::Broken;
+        }
+        self.pass_on().await
+    }
+
+    /// Returns when the body is passed on if nothing further comes. `pause` is that after a first part near the deadline.
+    fn pass_on_at(&self, pause: Duration) -> Option<Instant> {
+        match self.class {
+            _ if !self.is_deadline_near => None,
+            LengthClass::Long => Some(Instant::now()),
+            _ => self.first_part_at.map(|first| first + pause),
+        }
+    }
+
+    /// Returns a frame that has already arrived, or the news that the body broke off.
+    async fn frame_that_is_here(&mut self) -> Option<NextFrame> {
+        for _ in 0..TURNS_TO_READ_A_BREAK {
+            if let Some(frame) = self.body.frame().now_or_never() {
+                return Some(frame);
             }
+            yield_now().await;
         }
+        self.body.frame().now_or_never()
+    }
+
+    /// Takes a frame in. Returns the body if it has ended.
+    async fn take(&mut self, frame: NextFrame) -> Option<ReadBody> {
+        match frame.map(|frame| frame.map(Frame::into_data)) {
+            None => return Some(self.take_whole()),
+            Some(Err(_)) => return Some(ReadBody::Broken),
+            // Trailers are not passed on.
+            Some(Ok(Err(_))) => {}
+            Some(Ok(Ok(data))) => self.add(&data).await,
+        }
+        let is_excessive = self.class == LengthClass::Short && self.collected.len() > MAX_WHOLE_BODY_BYTES;
+        is_excessive.then_some(ReadBody::Broken)
     }
 
     /// Adds a part. Reserves memory for a body that is not small.
@@ -201,11 +246,19 @@
         ReadBody::Long(LongBody { first, body: self.body, length: self.length, memory, last_part_at })
     }
 
-    fn into_whole(self) -> ReadBody {
-        let collected = self.collected.freeze();
-        ReadBody::Whole(match self.reservation {
+    fn take_whole(&mut self) -> ReadBody {
+        let collected = std::mem::take(&mut self.collected).freeze();
+        ReadBody::Whole(match self.reservation.take() {
             Some(reservation) => reservation.attach(collected),
             None => collected,
         })
     }
 }
+
+/// Waits until `time`, or forever if there is none.
+async fn wait_until(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => pending().await,
+    }
+}
--- a/src/net/upstream/tests.rs
+++ b/src/net/upstream/tests.rs
@@ -97,7 +97,10 @@
             control,
             stats,
             memory: MemoryBudget::new(1 << 20, usize::MAX),
-            pass_on_margin: Duration::from_millis(30),
+            pass_on_margin: PassOnMargin {
+                before_deadline: Duration::ZERO,
+                before_giving_up: Duration::from_millis(30),
+            },
         }),
         mailbox,
     )
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -38,7 +38,7 @@
 use crate::net::runtime::memory_budget::MemoryBudget;
 use crate::net::runtime::memory_plan::MemoryPlan;
 use crate::net::runtime::shutdown::{Phase, ShutdownDeadline, Signals};
-use crate::net::upstream::UpstreamShared;
+use crate::net::upstream::{PassOnMargin, UpstreamShared};
 
 /// Capacity of the mailbox of the control actor.
 const MESSAGE_MAILBOX: usize = 4096;
@@ -227,7 +227,10 @@
         control: messages.clone(),
         stats: stats.clone(),
         memory: memory.clone(),
-        pass_on_margin: PASS_ON_MARGIN + config::to_duration(2 * config.settings.tick),
+        pass_on_margin: PassOnMargin {
+            before_deadline: config::to_duration(sedgestack::ANSWER_TICKS * config.settings.tick),
+            before_giving_up: PASS_ON_MARGIN,
+        },
     }
 }
 
