Give the control actor time to answer a request with hardly any time left

A client with 1 ms left got 504, which says that its request may have run, though it was never sent: the last resort was due 4 ms before the deadline, so before the control actor had seen the request. It is due 20 ms after the request at the earliest now, within the half second that a late answer has.

--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -41,6 +41,8 @@
 /// How long before the client's deadline a request whose reply was lost is answered. Any reply that is in time comes
 /// earlier.
 const LOST_REPLY_MARGIN: Duration = Duration::from_millis(4);
+/// Time that the control actor has for a reply at least, a few of its turns, however little time the client has left.
+const MIN_REPLY_TIME: Duration = Duration::from_millis(20);
 /// Header for the version of the runtime configuration that a request was accepted under, set where limiters agree on
 /// versions.
 const X_RULES: HeaderName = HeaderName::from_static("x-rules");
@@ -133,7 +135,7 @@
         id,
         client_gone,
         reply: reply_receiver,
-        respond_by: deadline - LOST_REPLY_MARGIN.min(head.timeout),
+        respond_by: (deadline - LOST_REPLY_MARGIN).max(Instant::now() + MIN_REPLY_TIME),
         forward,
         rest,
     };
--- a/tests/limiter/broken_answers.rs
+++ b/tests/limiter/broken_answers.rs
@@ -313,3 +313,22 @@
     let rest = read_to_end(&mut stream);
     assert!(rest.is_reset, "{} bytes and an ordinary end", first + rest.bytes.len());
 }
+
+/// Guards against a request with hardly any time left that is answered as failed though it was never sent.
+#[test]
+fn request_with_hardly_any_time_left_is_refused_or_served() {
+    let backend = Backend::answering("a report");
+    let (discovery, _push) = discovery();
+    let (counter, _) = quota_counter(true);
+    let mut limiter = Limiter::start(&config(discovery, counter, vec![backend.entry("s-1", "Ready")]));
+    limiter.wait_until_ready();
+    for deadline_ms in (0..=12).chain([20, 40, 60]) {
+        let sent_before = backend.request_count();
+        for received in received_by_clients(&limiter, ClientForm::KeepAlive11, deadline_ms) {
+            let is_harmless = matches!(received.status, Some(200 | 429));
+            let may_have_run = backend.request_count() > sent_before;
+            assert!(is_harmless || may_have_run, "{deadline_ms} ms: {received:?}");
+        }
+    }
+    assert_eq!(limiter.counter("responses_unwritten"), 0);
+}
