Refuse clients in time while all connections have requests in flight

Callers behind a crowd got neither an answer nor a refusal within their time: connections whose request is in flight can't be closed for others, so further clients stayed in the system's queue. A trace beside load shows the limiter busy with sound answers (served +70 a second, memory_evicted 0), and the client waiting behind 121 others. A sixteenth of the connections, 16 at most, now takes clients that have waited for 0.25 s and answers one request with 429.

Evidence: client_behind_requests_in_flight_is_refused_in_time took 4.9 s of 1 s before and passes now.

--- a/src/net/listener/accept.rs
+++ b/src/net/listener/accept.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use axum::Router;
+use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{interval, sleep_until, Instant, Interval, MissedTickBehavior};
@@ -92,7 +93,7 @@
         loop {
             let accept = async {
                 self.connections.wait_for_capacity().await;
-                listener.accept().await
+                self.accept_next(listener).await
             };
             tokio::select! {
                 accepted = accept => match accepted {
@@ -109,6 +110,16 @@
         }
     }
 
+    async fn accept_next(&self, listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
+        match listener.accept().now_or_never() {
+            Some(accepted) => accepted,
+            None => {
+                self.connections.on_none_waiting();
+                listener.accept().await
+            }
+        }
+    }
+
     /// Starts to serve the connections that the kernel accepted before the listener closes, and closes the listener.
     /// These count as accepted too. They are taken from the socket itself, because the runtime may not have noticed yet
     /// that connections are waiting.
--- a/src/net/listener/connection.rs
+++ b/src/net/listener/connection.rs
@@ -8,9 +8,10 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use axum::http::{header, HeaderValue};
 use axum::response::Response;
 use axum::Router;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, Service};
 use hyper_util::rt::TokioTimer;
@@ -20,7 +21,7 @@
 
 use super::connection_end::{ConnectionEndRecorder, EndCause};
 use super::connection_table::Stage;
-use super::connections::ConnectionEntry;
+use super::connections::{Admission, ConnectionEntry};
 use super::downstream_io::{Downstream, DownstreamIo};
 use super::response_progress::ResponseState;
 use crate::net::runtime::memory_budget::BytePool;
@@ -99,13 +100,19 @@
     let routes = TowerToHyperService::new(routes);
     service_fn(move |mut request: hyper::Request<Incoming>| {
         request.extensions_mut().insert(client.clone());
+        // A connection for refusals is needed for the next one as soon as nothing is left to read.
+        let may_have_unread =
+            client.entry.admission == Admission::Requests || !request.body().is_end_stream();
         let response = routes.call(request);
-        async {
-            let response = response.await;
+        async move {
+            let mut response = response.await;
+            if let (Ok(response), Admission::Refusal) = (&mut response, client.entry.admission) {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
             client.entry.set_stage(Stage::Responding);
             client.downstream.response().hand_over_whole();
             let is_error = response.as_ref().is_ok_and(|response| response.status().is_client_error());
-            was_refused.store(is_error, Relaxed);
+            was_refused.store(is_error && may_have_unread, Relaxed);
             response
         }
     })
--- a/src/net/listener/connection_table.rs
+++ b/src/net/listener/connection_table.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Whether connections are being closed, so that there is about to be capacity.
+    pub(super) fn has_closing(&self) -> bool {
+        self.closing > 0
+    }
+
     /// Starts closing a connection. It counts as open until it has ended.
     pub(super) fn close(&mut self, id: u64) {
         self.stop_timing(id);
--- a/src/net/listener/connections.rs
+++ b/src/net/listener/connections.rs
@@ -14,9 +14,28 @@
 use crate::net::runtime::metrics::COUNTERS;
 use crate::{exchange_info, info};
 
+/// Maximum number of connections that only get refusals, and maximum share of all connections, as a divisor.
+const MAX_REFUSALS: usize = 16;
+const REFUSALS_DIVISOR: usize = 16;
+/// Time for which clients must have been waiting to be accepted before some are accepted for a refusal.
+const MIN_TIME_BEFORE_REFUSALS: Duration = Duration::from_millis(250);
+
+/// What a connection may be used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Admission {
+    /// All requests.
+    Requests,
+    /// One request, which is rejected: all connections for requests have one in flight.
+    Refusal,
+}
+
 /// The downstream connections of the process, at most `max_open` at a time.
 pub(super) struct Connections {
     max_open: usize,
+    /// How many of them are for requests. The others are for refusals.
+    max_for_requests: usize,
+    /// Since when clients have been waiting, as no connection for requests was free or could be closed.
+    full_since: Mutex<Option<Instant>>,
     memory: MemoryBudget,
     /// Whether the budget was used up at the last sweep.
     was_memory_used_up: AtomicBool,
@@ -30,8 +49,11 @@
 impl Connections {
     /// Returns an empty set.
     pub(super) fn new(max_open: usize, memory: MemoryBudget) -> Arc<Connections> {
+        let refusals = MAX_REFUSALS.min(max_open / REFUSALS_DIVISOR);
         Arc::new(Connections {
             max_open,
+            max_for_requests: max_open - refusals,
+            full_since: Mutex::default(),
             memory,
             was_memory_used_up: AtomicBool::new(false),
             table: Mutex::default(),
@@ -45,7 +67,7 @@
 
     /// Waits until one more connection may be accepted, closing the oldest connections if necessary. This keeps
     /// normal clients served when others open hundreds of connections without sending, or never close connections
-    /// they used once.
+    /// they used once. While all connections for requests have one in flight, clients are accepted for a refusal.
     pub(super) async fn wait_for_capacity(&self) {
         let mut candidate = None;
         loop {
@@ -65,8 +87,8 @@
                 None if self.memory.is_heap_full() => Some(Instant::now() + MEMORY_CHECK_INTERVAL),
                 not_before => not_before,
             };
-            match not_before {
-                Some(not_before) => tokio::select! { () = ended => {} () = sleep_until(not_before) => {} },
+            match not_before.into_iter().chain(self.refusals_from()).min() {
+                Some(next_check) => tokio::select! { () = ended => {} () = sleep_until(next_check) => {} },
                 None => ended.await,
             }
         }
@@ -76,9 +98,9 @@
     fn capacity_now(&self, candidate: Option<u64>) -> Capacity {
         let (mut table, now) = (self.table(), Instant::now());
         // While all memory is in use, a connection is accepted only in place of another one.
-        let max_open =
-            if self.memory.is_heap_full() { table.open.len().min(self.max_open) } else { self.max_open };
-        match table.capacity(max_open, now) {
+        let is_heap_full = self.memory.is_heap_full();
+        let max_open = if is_heap_full { table.open.len().min(self.max_open) } else { self.max_for_requests };
+        let capacity = match table.capacity(max_open, now) {
             Capacity::AfterClosing(id) if candidate == Some(id) => {
                 let is_idle = table.open.get(&id).is_some_and(|e| e.stage == Stage::Idle);
                 let counter = if is_idle {
@@ -91,9 +113,35 @@
                 table.capacity(max_open, now)
             }
             capacity => capacity,
+        };
+        let may_refuse = !is_heap_full && !table.has_closing() && table.open.len() < self.max_open;
+        match capacity {
+            Capacity::NotBefore(_) if self.record_full(now) <= now && may_refuse => Capacity::Available,
+            capacity => capacity,
         }
     }
 
+    /// Records that no client waits to be accepted.
+    pub(super) fn on_none_waiting(&self) {
+        *self.full_since() = None;
+    }
+
+    fn full_since(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.full_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that no connection for requests is free or may be closed. Returns from when on clients are accepted for a
+    /// refusal, unless there is a moment before in which none waits.
+    fn record_full(&self, now: Instant) -> Instant {
+        *self.full_since().get_or_insert(now) + MIN_TIME_BEFORE_REFUSALS
+    }
+
+    /// Returns from when on clients are accepted for a refusal, if there is a connection left for one.
+    fn refusals_from(&self) -> Option<Instant> {
+        let has_spare = !self.memory.is_heap_full() && self.table().open.len() < self.max_open;
+        self.full_since().filter(|_| has_spare).map(|since| since + MIN_TIME_BEFORE_REFUSALS)
+    }
+
     /// Closes the connections whose time is up.
     pub(super) fn sweep(&self) {
         let now = Instant::now();
@@ -134,12 +182,14 @@
     /// Registers an accepted connection.
     pub(super) fn register(self: &Arc<Connections>, downstream: Arc<Downstream>) -> Arc<ConnectionEntry> {
         let mut table = self.table();
+        let has_room = table.open.len() < self.max_for_requests;
+        let admission = if has_room { Admission::Requests } else { Admission::Refusal };
         let id = table.insert(Instant::now());
         if let Some(entry) = table.open.get_mut(&id) {
             entry.downstream = Some(downstream);
         }
         drop(table);
-        Arc::new(ConnectionEntry { connections: self.clone(), id })
+        Arc::new(ConnectionEntry { connections: self.clone(), id, admission })
     }
 }
 
@@ -147,6 +197,8 @@
 pub(super) struct ConnectionEntry {
     connections: Arc<Connections>,
     id: u64,
+    /// What the connection may be used for.
+    pub(super) admission: Admission,
 }
 
 impl ConnectionEntry {
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -21,6 +21,7 @@
 use super::client_watch::DisconnectGuard;
 use super::connection::ClientConnection;
 use super::connection_table::Stage;
+use super::connections::Admission;
 use super::open_ids::OpenRequestId;
 use super::request_error::RequestError;
 use super::request_head::RequestHead;
@@ -105,6 +106,10 @@
         COUNTERS.memory_refused.increment();
         return RequestError::OutOfMemory.into_response();
     }
+    if connection.as_ref().is_some_and(|connection| connection.entry.admission == Admission::Refusal) {
+        COUNTERS.turned_away_full.increment();
+        return rejection_response(0);
+    }
     let ReadBody { body, rest, memory_wait } =
         match read_body(listener, head.body_length, body, connection.as_ref(), head.timeout).await {
             Ok(read) => read,
