Play answers that break off at every point in the soak, and limiters held up

Some runs now have answers that break off behind the head, the first bytes, within the body, before its end or behind its last byte, at once or up to 5 ms later, also shortly before the deadline; clients of four forms of HTTP/1 that check what they got; deadlines from 10 ms; and limiters stopped for 50 to 150 ms. A response counts from its first byte, and ends within a head are told apart.

--- a/crates/rehearse/src/soak/backend.rs
+++ b/crates/rehearse/src/soak/backend.rs
@@ -115,6 +115,9 @@
                 self.records.end_attempt(attempt.index, AttemptEnd::NotRun);
             }
             match (behavior, attempt.answer) {
+                (Behavior::Serve, Some(answer @ AnswerRequest { break_off: Some(break_off), .. })) => {
+                    return break_off.write(&mut stream, answer).await;
+                }
                 (Behavior::Serve, Some(answer)) => {
                     sleep(self.draw_work()).await;
                     if let Err(taken) = write_answer(&mut stream, answer).await {
@@ -228,12 +231,7 @@
 /// Writes a long answer, at its rate. If the connection ends before, returns how many bytes were
 /// taken.
 async fn write_answer(stream: &mut TcpStream, answer: AnswerRequest) -> Result<(), usize> {
-    let head = match answer.framing {
-        Framing::Length => format!("Content-Length: {}\r\n", answer.length),
-        Framing::Chunked => "Transfer-Encoding: chunked\r\n".into(),
-        Framing::UntilClose => "Connection: close\r\n".into(),
-    };
-    stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n").as_bytes()).await.map_err(|_| 0_usize)?;
+    stream.write_all(answer.head().as_bytes()).await.map_err(|_| 0_usize)?;
     let mut taken = 0;
     for part in content(answer.length).chunks(ANSWER_PART) {
         let framed = match answer.framing {
--- a/crates/rehearse/src/soak/body.rs
+++ b/crates/rehearse/src/soak/body.rs
@@ -2,6 +2,7 @@
 
 use std::sync::LazyLock;
 
+use super::broken_answer::BreakOff;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::Rng;
@@ -31,7 +32,8 @@
     UntilClose,
 }
 
-const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
+/// All framings.
+pub const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
 
 /// The answer that a client asks the backend for, in the query of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +44,8 @@
     pub framing: Framing,
     /// Rate at which the backend writes it, in kilobytes per second; 0 for at once.
     pub rate: u64,
+    /// How the backend breaks it off, if it does.
+    pub break_off: Option<BreakOff>,
 }
 
 impl AnswerRequest {
@@ -53,6 +57,7 @@
                 length: rng.random_range(if is_slow { SLOW_ANSWER_LENGTHS } else { ANSWER_LENGTHS }),
                 framing: *FRAMINGS.choose(rng).expect("there are framings"),
                 rate: if is_slow { rng.random_range(SLOW_ANSWER_RATES) } else { 0 },
+                break_off: None,
             }
         })
     }
@@ -60,7 +65,18 @@
     /// Returns the query that asks for the answer.
     pub fn query(&self) -> String {
         let framing = FRAMINGS.iter().position(|framing| *framing == self.framing).unwrap_or(0);
-        format!("?answer={}-{framing}-{}", self.length, self.rate)
+        let break_off = self.break_off.map(|break_off| break_off.query()).unwrap_or_default();
+        format!("?answer={}-{framing}-{}{break_off}", self.length, self.rate)
+    }
+
+    /// Returns the head with which a backend answers.
+    pub fn head(&self) -> String {
+        let framing = match self.framing {
+            Framing::Length => format!("Content-Length: {}\r\n", self.length),
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n".into(),
+            Framing::UntilClose => "Connection: close\r\n".into(),
+        };
+        format!("HTTP/1.1 200 OK\r\n{framing}\r\n")
     }
 
     /// Parses the answer that a request line asks for.
@@ -69,7 +85,8 @@
         let mut parts = query.split(' ').next()?.split('-');
         let length = parts.next()?.parse().ok()?;
         let framing = *FRAMINGS.get(parts.next()?.parse::<usize>().ok()?)?;
-        Some(AnswerRequest { length, framing, rate: parts.next()?.parse().ok()? })
+        let rate = parts.next()?.parse().ok()?;
+        Some(AnswerRequest { length, framing, rate, break_off: BreakOff::parse(parts) })
     }
 }
 
--- a/crates/rehearse/src/soak/checker.rs
+++ b/crates/rehearse/src/soak/checker.rs
@@ -131,7 +131,7 @@
     }
 
     fn deadline(&self) -> Duration {
-        self.deployment.classes[self.request.class].deadline
+        self.request.deadline
     }
 
     fn may_have_run(&self) -> impl Iterator<Item = &AttemptRecord> {
@@ -143,7 +143,7 @@
         let (ended_at, end) = self.request.end?;
         match end {
             ClientEnd::Unanswered => Some(self.finding(Rule::Lost, "no response in time")),
-            ClientEnd::Closed if ended_at >= stop.killed_at => {
+            ClientEnd::Closed | ClientEnd::ClosedWithinHead if ended_at >= stop.killed_at => {
                 let was_sent_late = self.request.sent_at > stop.signaled_at + STOP_GRACE;
                 let was_due = self.request.sent_at + self.deadline() < stop.killed_at;
                 (was_sent_late || was_due).then(|| self.finding(Rule::Lost, "unanswered at SIGKILL"))
@@ -154,7 +154,9 @@
 
     /// Reports a request whose connection the limiter closed without a response, before SIGKILL.
     fn closed_unanswered(&self, stop: StopTimes) -> Option<Finding> {
-        let (ended_at, ClientEnd::Closed) = self.request.end? else { return None };
+        let (ended_at, ClientEnd::Closed | ClientEnd::ClosedWithinHead) = self.request.end? else {
+            return None;
+        };
         if ended_at >= stop.killed_at {
             return None;
         }
--- a/crates/rehearse/src/soak/checker/tests.rs
+++ b/crates/rehearse/src/soak/checker/tests.rs
@@ -31,12 +31,14 @@
         has_long_bodies: false,
         crowd: 0,
         sockets: 256,
+        has_broken_answers: false,
+        has_stalls: false,
     }
 }
 
 fn request(class: usize, sent_ms: u64, end_ms: u64, end: ClientEnd) -> RequestRecord {
     let (id, sent_at, end) = ("r".to_string(), ms(sent_ms), Some((ms(end_ms), end)));
-    RequestRecord { id, class, limiter: 0, sent_at, on_reused_connection: false, end }
+    RequestRecord { id, class, limiter: 0, deadline: DEADLINE, sent_at, on_reused_connection: false, end }
 }
 
 fn attempt(backend: usize, began_ms: u64, end: AttemptEnd) -> AttemptRecord {
--- a/crates/rehearse/src/soak/client.rs
+++ b/crates/rehearse/src/soak/client.rs
@@ -13,9 +13,11 @@
 use tokio::time::{sleep, timeout};
 
 use super::body::{content, draw_request_length, AnswerRequest};
+use super::broken_answer::BreakOff;
+use super::client_form::ClientForm;
 use super::deployment::{Deployment, Idempotency};
 use super::records::{ClientEnd, Records, RequestRecord};
-use super::response::{read_head, ResponseHead};
+use super::response::{read_head, EarlyEnd, ResponseHead};
 
 /// How long a client waits after its deadline. A request whose response is later still counts as lost.
 const RESPONSE_GRACE: Duration = Duration::from_millis(500);
@@ -31,6 +33,11 @@
 const MAX_ABANDON_MS: u64 = 300;
 /// Body of each `POST` request.
 const BODY: &[u8] = b"a thesis";
+/// Deadlines of clients that have less time than their class, in milliseconds.
+const SHORT_DEADLINES_MS: [u64; 8] = [10, 15, 23, 40, 60, 100, 300, 500];
+/// Probability that a client has less time, and that its answer breaks off, in a run with such answers.
+const SHORT_DEADLINE_PROBABILITY: f64 = 0.4;
+const BROKEN_ANSWER_PROBABILITY: f64 = 0.4;
 /// Time within which a client reads the rest of a long answer.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -57,6 +64,19 @@
     Finish,
 }
 
+/// A request that a client is about to send.
+#[derive(Clone, Debug)]
+struct DrawnRequest {
+    /// Index of its class in the deployment.
+    class: usize,
+    id: String,
+    /// How long the client waits.
+    deadline: Duration,
+    /// The answer that it asks for, if that is not a short one.
+    answer: Option<AnswerRequest>,
+    form: ClientForm,
+}
+
 /// Whether a connection is usable after a request.
 #[derive(PartialEq)]
 enum ConnectionState {
@@ -87,38 +107,64 @@
         sleep(Duration::from_millis(pause_ms)).await;
     }
 
-    async fn send_request(&mut self, stream: &mut TcpStream, is_reused: bool) -> ConnectionState {
+    fn draw_request(&mut self) -> DrawnRequest {
         let class = self.rng.random_range(0..self.deployment.classes.len());
-        let id = new_request_id();
-        let answer = self.deployment.has_long_bodies.then(|| AnswerRequest::draw(&mut self.rng)).flatten();
-        let request = self.request(class, &id, answer);
+        let mut request = DrawnRequest {
+            class,
+            id: new_request_id(),
+            deadline: self.deployment.classes[class].deadline,
+            answer: None,
+            form: ClientForm::Http11,
+        };
+        if self.deployment.has_long_bodies {
+            request.answer = AnswerRequest::draw(&mut self.rng);
+        }
+        if self.deployment.has_broken_answers {
+            request.form = ClientForm::draw(&mut self.rng);
+            if self.rng.random_bool(SHORT_DEADLINE_PROBABILITY) {
+                let index = self.rng.random_range(0..SHORT_DEADLINES_MS.len());
+                request.deadline = Duration::from_millis(SHORT_DEADLINES_MS[index]);
+            }
+            if self.rng.random_bool(BROKEN_ANSWER_PROBABILITY) {
+                request.answer = Some(BreakOff::draw_answer(&mut self.rng, request.deadline));
+            }
+        }
+        request
+    }
+
+    async fn send_request(&mut self, stream: &mut TcpStream, is_reused: bool) -> ConnectionState {
+        let drawn = self.draw_request();
+        let request = self.request(&drawn);
         if self.write(stream, &request).await.is_err() {
             return ConnectionState::Closed;
         }
+        let DrawnRequest { class, id, deadline, .. } = drawn.clone();
         let index = self.records.add_request(RequestRecord {
             id: id.clone(),
             class,
             limiter: self.limiter,
+            deadline,
             sent_at: self.records.now(),
             on_reused_connection: is_reused,
             end: None,
         });
         let should_wait = self.rng.random_bool(1.0 - ABANDON_PROBABILITY);
         let wait = if should_wait {
-            self.deployment.classes[class].deadline + RESPONSE_GRACE
+            deadline + RESPONSE_GRACE
         } else {
             Duration::from_millis(self.rng.random_range(0..=MAX_ABANDON_MS))
         };
         let head = timeout(wait, read_head(stream)).await;
         let end = match &head {
-            Ok(Some(head)) => ClientEnd::Answered(head.status),
-            Ok(None) => ClientEnd::Closed,
+            Ok(Ok(head)) => ClientEnd::Answered(head.status),
+            Ok(Err(EarlyEnd::NoByte)) => ClientEnd::Closed,
+            Ok(Err(EarlyEnd::WithinHead)) => ClientEnd::ClosedWithinHead,
             Err(_) if should_wait => ClientEnd::Unanswered,
             Err(_) => ClientEnd::Left,
         };
         self.records.end_request(index, end);
         match head {
-            Ok(Some(head)) if head.status == 200 => self.read_body(head, stream, &id, answer).await,
+            Ok(Ok(head)) if head.status == 200 => self.read_body(head, stream, &drawn).await,
             // The limiter may close the connection after an error response, so the next request uses a new one.
             _ => ConnectionState::Closed,
         }
@@ -129,19 +175,21 @@
         &self,
         head: ResponseHead,
         stream: &mut TcpStream,
-        id: &str,
-        answer: Option<AnswerRequest>,
+        request: &DrawnRequest,
     ) -> ConnectionState {
         let body = timeout(BODY_TIMEOUT, head.read_body(stream)).await;
-        let problem = match (body, answer) {
+        let may_break_off = request.answer.is_some_and(|answer| answer.break_off.is_some());
+        let problem = match (body, request.answer) {
             (Err(_), _) => "the answer did not end".into(),
+            (Ok(None), _) if may_break_off => return ConnectionState::Closed,
             (Ok(None), _) => "the answer was broken off".into(),
             (Ok(Some(body)), Some(answer)) if !body.is_whole(answer.length) => {
                 format!("{} bytes are not those of {answer:?}", body.received())
             }
-            (Ok(Some(_)), _) => return ConnectionState::Open,
+            (Ok(Some(_)), _) if request.form.keeps_connection() => return ConnectionState::Open,
+            (Ok(Some(_)), _) => return ConnectionState::Closed,
         };
-        self.records.add_bad_body(id, problem);
+        self.records.add_bad_body(&request.id, problem);
         ConnectionState::Closed
     }
 
@@ -156,10 +204,12 @@
         stream.write_all(rest).await
     }
 
-    fn request(&mut self, class: usize, id: &str, answer: Option<AnswerRequest>) -> Vec<u8> {
+    /// Returns the bytes of a request.
+    fn request(&mut self, drawn: &DrawnRequest) -> Vec<u8> {
+        let DrawnRequest { class, id, deadline, answer, form } = drawn;
         let long_body = self.deployment.has_long_bodies.then(|| draw_request_length(&mut self.rng)).flatten();
         let long_body = long_body.map(content);
-        let class = &self.deployment.classes[class];
+        let class = &self.deployment.classes[*class];
         let body = long_body.as_deref().unwrap_or(BODY);
         let (method, key, body) = match class.idempotency {
             Idempotency::Idempotent => ("GET", String::new(), &b""[..]),
@@ -169,12 +219,14 @@
         let length =
             if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
         let head = format!(
-            "{method} /{name}/00000000b4d65521{query} HTTP/1.1\r\nHost: backend.local\r\nX-Request-Id: {id}\r\n\
-             X-Class: {name}\r\nX-Contract: large\r\nX-Deadline-Ms: {deadline}\r\n{key}\
+            "{method} /{name}/00000000b4d65521{query} {version}\r\nHost: backend.local\r\nX-Request-Id: {id}\r\n\
+             X-Class: {name}\r\nX-Contract: large\r\nX-Deadline-Ms: {deadline}\r\n{key}{form}\
              X-Metering: units=1,spread=1,first=0\r\n{length}\r\n",
             name = class.name,
+            version = form.version(),
+            form = form.header(),
             query = answer.map(|answer| answer.query()).unwrap_or_default(),
-            deadline = class.deadline.as_millis(),
+            deadline = deadline.as_millis(),
         );
         [head.as_bytes(), body].concat()
     }
--- a/crates/rehearse/src/soak/crowd.rs
+++ b/crates/rehearse/src/soak/crowd.rs
@@ -136,7 +136,12 @@
                 }
             }
             Conduct::DoNotRead => {
-                let answer = AnswerRequest { length: UNREAD_ANSWER, framing: Framing::Length, rate: 0 };
+                let answer = AnswerRequest {
+                    length: UNREAD_ANSWER,
+                    framing: Framing::Length,
+                    rate: 0,
+                    break_off: None,
+                };
                 stream.write_all(self.get_head(&id, &answer.query()).as_bytes()).await?;
                 sleep(self.hold_time()).await;
                 return Ok(());
@@ -158,6 +163,7 @@
             id,
             class: 0,
             limiter: self.limiter,
+            deadline: self.deadline,
             sent_at: self.records.now(),
             on_reused_connection: false,
             end: None,
--- a/crates/rehearse/src/soak/deployment.rs
+++ b/crates/rehearse/src/soak/deployment.rs
@@ -43,6 +43,10 @@
 const LARGE_CROWD: std::ops::RangeInclusive<usize> = 400..=600;
 /// Probability that limiters have such clients.
 const CROWD_PROBABILITY: f64 = 0.5;
+/// Probability that some answers break off, clients have all forms and some of them little time.
+const BROKEN_ANSWERS_PROBABILITY: f64 = 0.6;
+/// Probability that limiters are held up at times.
+const STALLS_PROBABILITY: f64 = 0.4;
 /// Latency objective as a fraction of the deadline.
 const LATENCY_OBJECTIVE_SHARE: f64 = 0.8;
 
@@ -109,6 +113,10 @@
     pub crowd: usize,
     /// A limiter's descriptor limit.
     pub sockets: u32,
+    /// Whether some answers break off, clients have all forms and some of them little time.
+    pub has_broken_answers: bool,
+    /// Whether limiters are held up at times.
+    pub has_stalls: bool,
 }
 
 /// How long endpoint lists are, and how slowly discovery writes them.
@@ -158,6 +166,8 @@
             has_long_bodies: false,
             crowd: 0,
             sockets: SOCKETS,
+            has_broken_answers: false,
+            has_stalls: false,
         };
         if rng.random_bool(LARGE_FLEET_PROBABILITY) {
             deployment.limiters = rng.random_range(LARGE_FLEET);
@@ -173,6 +183,8 @@
             deployment.crowd = rng.random_range(if is_large { LARGE_CROWD } else { CROWD });
             deployment.sockets = if is_large { SOCKETS_OF_LARGE_CROWD } else { SOCKETS };
         }
+        deployment.has_broken_answers = rng.random_bool(BROKEN_ANSWERS_PROBABILITY);
+        deployment.has_stalls = rng.random_bool(STALLS_PROBABILITY);
         deployment
     }
 
--- a/crates/rehearse/src/soak/limiter.rs
+++ b/crates/rehearse/src/soak/limiter.rs
@@ -62,9 +62,14 @@
         Ok(())
     }
 
+    /// Returns the process id while the process runs.
+    pub fn pid(&self) -> Option<Pid> {
+        self.child.id().and_then(|pid| Pid::from_raw(pid as i32))
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
-        if let Some(pid) = self.child.id().and_then(|pid| Pid::from_raw(pid as i32)) {
+        if let Some(pid) = self.pid() {
             let _ = kill_process(pid, signal);
         }
     }
--- a/crates/rehearse/src/soak/mod.rs
+++ b/crates/rehearse/src/soak/mod.rs
@@ -6,8 +6,10 @@
 
 mod backend;
 mod body;
+mod broken_answer;
 mod checker;
 mod client;
+mod client_form;
 mod crowd;
 mod deployment;
 mod discovery;
@@ -16,6 +18,7 @@
 mod records;
 mod response;
 mod run;
+mod stalls;
 
 pub use checker::{check, CheckContext, Finding, Rule, StopTimes};
 pub use deployment::{ClassSettings, Deployment, Idempotency, ListSettings};
--- a/crates/rehearse/src/soak/records.rs
+++ b/crates/rehearse/src/soak/records.rs
@@ -14,8 +14,10 @@
 pub enum ClientEnd {
     /// The client received a complete response with this status.
     Answered(u16),
-    /// The limiter closed the connection without a complete response.
+    /// The limiter closed the connection before the first byte of a response.
     Closed,
+    /// The limiter closed the connection within the head of a response.
+    ClosedWithinHead,
     /// The client closed the connection before a response.
     Left,
     /// No complete response arrived while the client waited.
@@ -31,6 +33,8 @@
     pub class: usize,
     /// Number of the limiter that received the request.
     pub limiter: usize,
+    /// How long the client waits.
+    pub deadline: Duration,
     /// When the last byte was written.
     pub sent_at: Duration,
     /// Whether the connection had carried an earlier request.
--- a/crates/rehearse/src/soak/run.rs
+++ b/crates/rehearse/src/soak/run.rs
@@ -7,7 +7,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rustix::process::Signal;
+use rustix::process::{Pid, Signal};
 use serde::Serialize;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
@@ -24,6 +24,7 @@
 use super::lateness::LatenessMonitor;
 use super::limiter::{Limiter, POLL_INTERVAL, SETTLE_TIMEOUT};
 use super::records::Records;
+use super::stalls::stall_processes;
 use crate::{io, Failure};
 
 /// How long clients open new connections after the first signal to stop.
@@ -251,6 +252,11 @@
         let mut tasks: Vec<JoinHandle<()>> = clients.collect();
         let addresses: Vec<SocketAddr> = self.limiters.iter().map(|limiter| limiter.address).collect();
         tasks.extend(start_crowd(&self.deployment, &addresses, &self.records, &mut self.rng, &phase));
+        let processes: Vec<Pid> = self.limiters.iter().filter_map(Limiter::pid).collect();
+        if self.deployment.has_stalls && !processes.is_empty() {
+            let rng = StdRng::seed_from_u64(self.rng.random());
+            tasks.push(tokio::spawn(stall_processes(processes, rng, phase.subscribe())));
+        }
         Clients { phase, tasks }
     }
 
