--- a/crates/rehearse/src/soak/deployment.rs
+++ b/crates/rehearse/src/soak/deployment.rs
@@ -177,17 +177,23 @@
             deployment.lists = ListSettings::draw(&mut rng);
         }
         deployment.has_long_bodies = rng.random_bool(LONG_BODIES_PROBABILITY);
-        let may_have_crowd = !has_idle_clients && deployment.limiters < *LARGE_FLEET.start();
-        if may_have_crowd && rng.random_bool(CROWD_PROBABILITY) {
-            let is_large = deployment.limiters == 1;
-            deployment.crowd = rng.random_range(if is_large { LARGE_CROWD } else { CROWD });
-            deployment.sockets = if is_large { SOCKETS_OF_LARGE_CROWD } else { SOCKETS };
+        if !has_idle_clients && deployment.limiters < *LARGE_FLEET.start() {
+            deployment.draw_crowd(&mut rng);
         }
         deployment.has_broken_answers = rng.random_bool(BROKEN_ANSWERS_PROBABILITY);
         deployment.has_stalls = rng.random_bool(STALLS_PROBABILITY);
         deployment
     }
 
+    fn draw_crowd(&mut self, rng: &mut StdRng) {
+        if !rng.random_bool(CROWD_PROBABILITY) {
+            return;
+        }
+        let is_large = self.limiters == 1;
+        self.crowd = rng.random_range(if is_large { LARGE_CROWD } else { CROWD });
+        self.sockets = if is_large { SOCKETS_OF_LARGE_CROWD } else { SOCKETS };
+    }
+
     /// Returns the longest deadline of all classes.
     pub fn longest_deadline(&self) -> Duration {
         self.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
--- a/src/net/listener/handler.rs
+++ b/src/net/listener/handler.rs
@@ -102,13 +102,8 @@
     body: Body,
     connection: Option<ClientConnection>,
 ) -> Response {
-    if listener.memory.is_heap_full() {
-        COUNTERS.memory_refused.increment();
-        return RequestError::OutOfMemory.into_response();
-    }
-    if connection.as_ref().is_some_and(|connection| connection.entry.admission == Admission::Refusal) {
-        COUNTERS.turned_away_full.increment();
-        return rejection_response(0);
+    if let Some(refusal) = refuse_unread(listener, connection.as_ref()) {
+        return refusal;
     }
     let ReadBody { body, rest, memory_wait } =
         match read_body(listener, head.body_length, body, connection.as_ref(), head.timeout).await {
@@ -152,6 +147,19 @@
     listener.close_unless_serving(response)
 }
 
+/// Returns the response to a request that is refused before its body is read, for want of memory or of a connection.
+fn refuse_unread(listener: &Listener, connection: Option<&ClientConnection>) -> Option<Response> {
+    if listener.memory.is_heap_full() {
+        COUNTERS.memory_refused.increment();
+        return Some(RequestError::OutOfMemory.into_response());
+    }
+    if connection?.entry.admission == Admission::Requests {
+        return None;
+    }
+    COUNTERS.turned_away_full.increment();
+    Some(rejection_response(0))
+}
+
 /// Returns what is forwarded unchanged to a backend.
 fn forwarded_request(
     head: &RequestHead,
