--- a/tests/limiter/harness.rs
+++ b/tests/limiter/harness.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 
 use crate::script::counter_value;
 
@@ -68,6 +69,15 @@
     TcpListener::bind("127.0.0.1:0").expect("loopback has a port")
 }
 
+/// Reserves a port on which several processes can listen: a bound socket that does not listen keeps it.
+pub fn reserve_shared_port() -> (Socket, SocketAddr) {
+    let holder = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    holder.set_reuse_port(true).expect("an option");
+    holder.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let address = holder.local_addr().expect("the socket is bound").as_socket().expect("an address");
+    (holder, address)
+}
+
 /// Returns the endpoint list's entry of a backend.
 pub fn entry(address: SocketAddr, id: &str, state: &str, started_ms: u64) -> Value {
     json!({"id": id, "addr": address.to_string(), "zone": "room-a", "kind": "small", "cell": 1,
--- a/tests/limiter/memory_crowds.rs
+++ b/tests/limiter/memory_crowds.rs
@@ -269,3 +269,38 @@
     assert!(bytes.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&bytes[..head_end]));
     bytes.len() - head_end - 4
 }
+
+/// Guards against an upgrade whose two processes, which the platform counts as one, together pass the memory limit.
+#[test]
+fn both_processes_of_an_upgrade_fit_the_memory_limit_beside_a_crowd() {
+    for kind in [Kind::ShortFieldsAndBody, Kind::LargeBody, Kind::UnreadAnswer] {
+        let most = most_of_both_processes(kind);
+        assert!(most <= 32 << 10, "{kind:?}: {most} kB of both processes");
+    }
+}
+
+/// Starts a process beside one that has a crowd, sends it a crowd too, and stops the first one. Returns the largest size
+/// of both together, in kB.
+fn most_of_both_processes(kind: Kind) -> u64 {
+    let (_port_holder, address) = reserve_shared_port();
+    let mut config = configuration(32);
+    config["listen"] = json!(address.to_string());
+    let first = Limiter::start(&config);
+    first.wait_until_ready();
+    let mut crowd = connect(&first, 700, |_| kind.request());
+    thread::sleep(Duration::from_millis(500));
+    let second = Limiter::start(&config);
+    crowd.extend(connect(&second, 700, |_| kind.request()));
+    let started = Instant::now();
+    let mut most = 0;
+    while started.elapsed() < Duration::from_millis(1_000) {
+        most = most.max(first.proc_status("VmRSS") + second.proc_status("VmRSS"));
+        thread::sleep(Duration::from_millis(20));
+    }
+    first.signal("TERM");
+    while started.elapsed() < Duration::from_millis(1_400) {
+        most = most.max(first.proc_status("VmRSS") + second.proc_status("VmRSS"));
+        thread::sleep(Duration::from_millis(20));
+    }
+    most
+}
--- a/tests/limiter/upgrade.rs
+++ b/tests/limiter/upgrade.rs
@@ -1,13 +1,13 @@
 //! Restarts and upgrades: a second process on the same addresses, after or beside the first one.
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
+use socket2::Socket;
 
 use crate::harness::*;
 
@@ -30,11 +30,7 @@
         let (discovery, push) = discovery();
         let (counter, _) = quota_counter(true);
         let mut config = config(discovery, counter, entries);
-        // A bound socket that does not listen reserves the port for the processes of this test.
-        let port_holder = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        port_holder.set_reuse_port(true).expect("an option");
-        port_holder.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
-        let address = port_holder.local_addr().expect("the socket is bound").as_socket().expect("an address");
+        let (port_holder, address) = reserve_shared_port();
         config["listen"] = json!(address.to_string());
         config["ops"] = json!("127.0.0.1:0");
         let directory =
