Wait for an optional time in one place, and name an answer's backend from its attempt

No behaviour changes. The wait until a time that may be missing stood three times (attempt, response body, capacity of the listener); sleep_until_some of the clock serves them. The backend in log lines was read back from the request's Host header for each attempt; exchange gets the host that the attempt has. Whether a connection is left for a refusal is worked out in one method.

--- a/crates/rehearse/src/soak/body.rs
+++ b/crates/rehearse/src/soak/body.rs
@@ -2,11 +2,12 @@
 
 use std::sync::LazyLock;
 
-use super::broken_answer::BreakOff;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::Rng;
 
+use super::broken_answer::BreakOff;
+
 /// Length of the text that bodies repeat. It is prime, so that no part of a body occurs at another power of two.
 const PERIOD: usize = 23;
 /// Number of periods that are compared at once.
--- a/src/net/listener/connections.rs
+++ b/src/net/listener/connections.rs
@@ -6,10 +6,11 @@
 
 use tokio::sync::Notify;
 use tokio::task::{yield_now, AbortHandle};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 use super::connection_table::{Capacity, ConnectionTable, OverdueConnection, Stage};
 use super::downstream_io::Downstream;
+use crate::net::runtime::clock::sleep_until_some;
 use crate::net::runtime::memory_budget::{BytePool, MemoryBudget};
 use crate::net::runtime::metrics::COUNTERS;
 use crate::{exchange_info, info};
@@ -87,10 +88,8 @@
                 None if self.memory.is_heap_full() => Some(Instant::now() + MEMORY_CHECK_INTERVAL),
                 not_before => not_before,
             };
-            match not_before.into_iter().chain(self.refusals_from()).min() {
-                Some(next_check) => tokio::select! { () = ended => {} () = sleep_until(next_check) => {} },
-                None => ended.await,
-            }
+            let next_check = not_before.into_iter().chain(self.refusals_from()).min();
+            tokio::select! { () = ended => {} () = sleep_until_some(next_check) => {} }
         }
     }
 
@@ -114,7 +113,7 @@
             }
             capacity => capacity,
         };
-        let may_refuse = !is_heap_full && !table.has_closing() && table.open.len() < self.max_open;
+        let may_refuse = !table.has_closing() && self.has_spare(&table);
         match capacity {
             Capacity::NotBefore(_) if self.record_full(now) <= now && may_refuse => Capacity::Available,
             capacity => capacity,
@@ -136,9 +135,14 @@
         *self.full_since().get_or_insert(now) + MIN_TIME_BEFORE_REFUSALS
     }
 
+    /// Whether there is a connection left for a refusal.
+    fn has_spare(&self, table: &ConnectionTable) -> bool {
+        !self.memory.is_heap_full() && table.open.len() < self.max_open
+    }
+
     /// Returns from when on clients are accepted for a refusal, if there is a connection left for one.
     fn refusals_from(&self) -> Option<Instant> {
-        let has_spare = !self.memory.is_heap_full() && self.table().open.len() < self.max_open;
+        let has_spare = self.has_spare(&self.table());
         self.full_since().filter(|_| has_spare).map(|since| since + MIN_TIME_BEFORE_REFUSALS)
     }
 
--- a/src/net/runtime/clock.rs
+++ b/src/net/runtime/clock.rs
@@ -1,9 +1,10 @@
 //! The daemon's only clock: microseconds since the Unix epoch that never go backwards.
 
+use std::future::pending;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use sedgestack::Micros;
-use tokio::time::{Duration, Instant};
+use tokio::time::{sleep_until, Duration, Instant};
 
 /// A clock that is read from the system clock once and then advanced by the monotonic clock. The machines of a
 /// deployment share one time, and a later step of the system clock must not affect decisions.
@@ -48,3 +49,11 @@
         self.origin + Duration::from_micros(time.saturating_sub(self.epoch))
     }
 }
+
+/// Waits until `time`, or forever if there is none.
+pub async fn sleep_until_some(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => pending().await,
+    }
+}
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -80,8 +80,8 @@
     }
 
     /// Sets the backend that sends the body, as the value of a Host header.
-    pub fn with_backend(mut self, host: Option<HeaderValue>) -> StreamedBody {
-        self.backend = host;
+    pub fn with_backend(mut self, host: HeaderValue) -> StreamedBody {
+        self.backend = Some(host);
         self
     }
 
--- a/src/net/upstream/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -17,6 +17,7 @@
 use super::{PassOnMargin, UpstreamShared};
 use crate::exchange_info;
 use crate::net::control::message::{AttemptOutcome, ForwardedRequest};
+use crate::net::runtime::clock::sleep_until_some;
 use crate::net::runtime::metrics::COUNTERS;
 
 /// Largest share of an attempt's time, as a divisor, in which an answer under way is passed on for the deadline.
@@ -79,15 +80,9 @@
     /// Waits until the client disconnects or the write deadline passes. Returns the outcome of the attempt in that
     /// case, which applies only if the request has not been fully written.
     async fn wait_for_withdrawal(&self) -> Outcome {
-        let write_deadline_passed = async {
-            match self.write_deadline {
-                Some(by) => sleep_until(by).await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
             () = self.forward.client_gone.cancelled() => Outcome::Canceled,
-            () = write_deadline_passed => Outcome::NotSent,
+            () = sleep_until_some(self.write_deadline) => Outcome::NotSent,
         }
     }
 }
@@ -175,8 +170,15 @@
     ) -> NextStep {
         let progress = connection.progress().clone();
         let request = build_request(&self.host, &self.attempt);
-        let exchange =
-            exchange(&self.pool, connection, request, &self.attempt, &self.shared, attempt_outcome);
+        let exchange = exchange(
+            &self.pool,
+            connection,
+            request,
+            &self.host,
+            &self.attempt,
+            &self.shared,
+            attempt_outcome,
+        );
         match self.run_until_withdrawn(exchange, Some(&progress)).await {
             StepEnd::Finished(Outcome::ConnectFailed) => self.after_connect_failure(&progress),
             StepEnd::Finished(outcome) => {
--- a/src/net/upstream/response.rs
+++ b/src/net/upstream/response.rs
@@ -21,16 +21,16 @@
 const X_SETTLED: HeaderName = HeaderName::from_static("x-settled");
 
 /// Sends `request` and reads the complete response into `attempt_outcome`, or the start of a long one, whose rest is
-/// then read in the background. A connection that can be reused is returned to `pool`.
+/// then read in the background. `host` names the backend. A connection that can be reused is returned to `pool`.
 pub(super) async fn exchange(
     pool: &Pool,
     mut connection: Connection,
     request: Request<AttemptBody>,
+    host: &HeaderValue,
     attempt: &Attempt,
     shared: &UpstreamShared,
     attempt_outcome: &mut AttemptOutcome,
 ) -> Outcome {
-    let backend = request.headers().get(header::HOST).cloned();
     let response = connection.send(request).await;
     let progress = connection.progress();
     // Counts the attempt if its request was fully written by the time the response head was read or the exchange broke.
@@ -54,7 +54,7 @@
             outcome_of_whole_response(&head, body, attempt_outcome)
         }
         ReadBody::Long(start) => {
-            attempt_outcome.stream = Some(pass_on(start, connection, pool, attempt, backend));
+            attempt_outcome.stream = Some(pass_on(start, connection, pool, attempt, host));
             Outcome::Ok
         }
         ReadBody::Broken => Outcome::Reset,
@@ -67,12 +67,12 @@
     connection: Connection,
     pool: &Pool,
     attempt: &Attempt,
-    backend: Option<HeaderValue>,
+    host: &HeaderValue,
 ) -> StreamedBody {
     COUNTERS.responses_streamed.increment();
     let read = connection.progress().answer().body_bytes;
     let (parts, stream) = StreamedBody::new(start.first, start.length, start.memory);
-    let stream = stream.with_backend(backend.clone());
+    let stream = stream.with_backend(host.clone());
     let rest = ResponseStream {
         connection,
         pool: pool.clone(),
@@ -81,7 +81,7 @@
         last_part_at: start.last_part_at,
         is_announced: start.length.is_some(),
         forward: attempt.forward.clone(),
-        backend,
+        backend: host.clone(),
         deadline: attempt.deadline,
         parts,
     };
--- a/src/net/upstream/response_body.rs
+++ b/src/net/upstream/response_body.rs
@@ -5,7 +5,7 @@
 //! would throw it away: from a size, after a time, and at the latest shortly before the client's deadline. Until then its
 //! request can still be sent again.
 
-use std::future::{pending, Future};
+use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,9 +16,10 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 use super::exchange_progress::ExchangeProgress;
+use crate::net::runtime::clock::sleep_until_some;
 use crate::net::runtime::memory_budget::{BytePool, Reservation, GUARANTEED_BODY_BYTES};
 use crate::net::streamed_body::{MAX_BODY_BYTES, MAX_WHOLE_BODY_BYTES, RESPONSE_STREAM_MEMORY_BYTES};
 
@@ -159,7 +160,7 @@
                     self.is_deadline_near = true;
                     continue;
                 }
-                () = wait_until(pass_on_at) => break,
+                () = sleep_until_some(pass_on_at) => break,
             };
             if let Some(ended) = self.take(frame).await {
                 return ended;
@@ -254,11 +255,3 @@
         })
     }
 }
-
-/// Waits until `time`, or forever if there is none.
-async fn wait_until(time: Option<Instant>) {
-    match time {
-        Some(time) => sleep_until(time).await,
-        None => pending().await,
-    }
-}
--- a/src/net/upstream/response_stream.rs
+++ b/src/net/upstream/response_stream.rs
@@ -35,7 +35,7 @@
     pub(super) is_announced: bool,
     pub(super) forward: Arc<ForwardedRequest>,
     /// The backend, as the value of a Host header.
-    pub(super) backend: Option<HeaderValue>,
+    pub(super) backend: HeaderValue,
     /// The client's deadline.
     pub(super) deadline: Instant,
     pub(super) parts: mpsc::Sender<BodyPart>,
