--- a/tests/limiter/broken_answers.rs
+++ b/tests/limiter/broken_answers.rs
@@ -52,16 +52,22 @@
     fn start_limiter(self) -> (Limiter, std::sync::mpsc::Sender<Value>) {
         let backends: Vec<Backend> =
             (0..BACKENDS).map(|_| Backend::start(move |stream| self.write(stream))).collect();
-        let entries =
-            backends.iter().enumerate().map(|(n, backend)| backend.entry(&format!("s-{n}"), "Ready"));
-        let (discovery, push) = discovery();
-        let (counter, _) = quota_counter(true);
-        let limiter = Limiter::start(&config(discovery, counter, entries.collect()));
-        limiter.wait_until_ready();
-        (limiter, push)
+        start_ready_limiter(entries(&backends, "Ready"))
     }
 }
 
+/// Returns the endpoint list's entries of backends.
+fn entries(backends: &[Backend], state: &str) -> Vec<Value> {
+    backends.iter().enumerate().map(|(n, backend)| backend.entry(&format!("s-{n}"), state)).collect()
+}
+
+/// Starts a limiter of these backends and waits until it is ready.
+fn start_ready_limiter(servers: Vec<Value>) -> (Limiter, std::sync::mpsc::Sender<Value>) {
+    let (limiter, push) = crate::start_limiter(servers);
+    limiter.wait_until_ready();
+    (limiter, push)
+}
+
 /// Sends requests from several clients at once, and returns what each of them got.
 fn received_by_clients(limiter: &Limiter, form: ClientForm, deadline_ms: u64) -> Vec<ReceivedAnswer> {
     thread::scope(|scope| {
@@ -200,10 +206,7 @@
     let body = Arc::new(content(length));
     let sent = body.clone();
     let backend = Backend::start(move |stream| write_with_end(stream, framing, &sent, end));
-    let (discovery, _push) = discovery();
-    let (counter, _) = quota_counter(true);
-    let mut limiter = Limiter::start(&config(discovery, counter, vec![backend.entry("s-1", "Ready")]));
-    limiter.wait_until_ready();
+    let (mut limiter, _push) = start_ready_limiter(vec![backend.entry("s-1", "Ready")]);
     let received = form.send_and_receive(&limiter, 800);
     assert_ne!(received.end, End::NoByte, "{context}");
     // Without a length or chunks, a close is the end that the backend meant.
@@ -245,10 +248,7 @@
 #[test]
 fn head_request_gets_an_answer_without_a_body() {
     let backend = Backend::answering("a report");
-    let (discovery, _push) = discovery();
-    let (counter, _) = quota_counter(true);
-    let mut limiter = Limiter::start(&config(discovery, counter, vec![backend.entry("s-1", "Ready")]));
-    limiter.wait_until_ready();
+    let (mut limiter, _push) = start_ready_limiter(vec![backend.entry("s-1", "Ready")]);
     let mut client = limiter.connect();
     client.write(&get_request("large", 1).replace("GET", "HEAD"));
     let bytes = read_to_end(&mut client.into_stream()).bytes;
@@ -262,18 +262,11 @@
 fn drain_during_whole_answers_loses_none() {
     for framing in [Framing::Length, Framing::Chunked, Framing::UntilClose] {
         let backends: Vec<Backend> = (0..BACKENDS).map(|_| draining_backend(framing)).collect();
-        let entries = |state: &str| -> Vec<Value> {
-            backends.iter().enumerate().map(|(n, backend)| backend.entry(&format!("s-{n}"), state)).collect()
-        };
-        let (discovery, push) = discovery();
-        let (counter, _) = quota_counter(true);
-        let mut limiter = Limiter::start(&config(discovery, counter, entries("Ready")));
-        limiter.wait_until_ready();
+        let (mut limiter, push) = start_ready_limiter(entries(&backends, "Ready"));
         let received = thread::scope(|scope| {
             let received = scope.spawn(|| received_by_clients(&limiter, ClientForm::KeepAlive11, 60));
             thread::sleep(Duration::from_millis(30));
-            for (version, n) in (2..).zip(0..BACKENDS - 1) {
-                let drained = entries("Terminating")[n].clone();
+            for (version, drained) in (2..).zip(&entries(&backends, "Terminating")[..BACKENDS - 1]) {
                 push.send(json!({"version": version, "full": false, "servers": [drained]})).expect("a watch");
                 thread::sleep(Duration::from_millis(15));
             }
@@ -301,10 +294,7 @@
         write_start(stream, Framing::Chunked, 100_000, &content(50_000));
         thread::sleep(HANG_TIMEOUT);
     });
-    let (discovery, _push) = discovery();
-    let (counter, _) = quota_counter(true);
-    let limiter = Limiter::start(&config(discovery, counter, vec![backend.entry("s-1", "Ready")]));
-    limiter.wait_until_ready();
+    let (limiter, _push) = start_ready_limiter(vec![backend.entry("s-1", "Ready")]);
     let mut client = limiter.connect();
     client.write(&get_request("large", 1).replace("HTTP/1.1", "HTTP/1.0"));
     let mut stream = client.into_stream();
@@ -318,10 +308,7 @@
 #[test]
 fn request_with_hardly_any_time_left_is_refused_or_served() {
     let backend = Backend::answering("a report");
-    let (discovery, _push) = discovery();
-    let (counter, _) = quota_counter(true);
-    let mut limiter = Limiter::start(&config(discovery, counter, vec![backend.entry("s-1", "Ready")]));
-    limiter.wait_until_ready();
+    let (mut limiter, _push) = start_ready_limiter(vec![backend.entry("s-1", "Ready")]);
     for deadline_ms in (0..=12).chain([20, 40, 60]) {
         let sent_before = backend.request_count();
         for received in received_by_clients(&limiter, ClientForm::KeepAlive11, deadline_ms) {
--- a/tests/limiter/capacity.rs
+++ b/tests/limiter/capacity.rs
@@ -1,21 +1,27 @@
 //! More clients than there are connections: none is kept out by others until its time is over.
 
+use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{json, Value};
 
 use crate::harness::*;
 
+/// Starts a limiter with the fewest descriptors that it accepts.
+fn start_with_few_sockets(backend: &Backend) -> (Limiter, Sender<Value>) {
+    let (discovery, push) = discovery();
+    let (counter, _) = quota_counter(true);
+    let mut config = config(discovery, counter, vec![backend.entry("s-1", "Ready")]);
+    config["limits"]["sockets"] = json!(96);
+    (Limiter::start(&config), push)
+}
+
 /// Clients can connect although silent connections, incomplete requests and connections kept open after a request use
 /// up the sockets.
 #[test]
 fn idle_connections_do_not_lock_out_clients() {
     let backend = Backend::answering("a report");
-    let (discovery, _push) = discovery();
-    let (counter, _) = quota_counter(true);
-    let mut config = config(discovery, counter, vec![backend.entry("s-1", "Ready")]);
-    config["limits"]["sockets"] = json!(96);
-    let mut limiter = Limiter::start(&config);
+    let (mut limiter, _push) = start_with_few_sockets(&backend);
     let mut open_clients = Vec::new();
     for round in 0..120 {
         let mut client = limiter.connect();
@@ -42,11 +48,7 @@
     /// More than there are connections for clients with 96 descriptors.
     const IN_FLIGHT: usize = 50;
     let (backend, _release) = Backend::holding_answers();
-    let (discovery, _push) = discovery();
-    let (counter, _) = quota_counter(true);
-    let mut config = config(discovery, counter, vec![backend.entry("s-1", "Ready")]);
-    config["limits"]["sockets"] = json!(96);
-    let mut limiter = Limiter::start(&config);
+    let (mut limiter, _push) = start_with_few_sockets(&backend);
     limiter.wait_until_ready();
     let crowd: Vec<_> = (0..IN_FLIGHT)
         .map(|_| {
--- a/tests/limiter/client_forms.rs
+++ b/tests/limiter/client_forms.rs
@@ -1,13 +1,13 @@
 //! Clients of every form of HTTP/1, which tell whether the answer that they got is whole.
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
 use socket2::SockRef;
 
 use crate::harness::*;
-use crate::paced_answers::Framing;
+use crate::paced_answers::{decode_chunks, read_some, Framing};
 
 /// The form in which a client sends its request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -102,20 +102,17 @@
 /// Reads some bytes. Returns `None` at the end of the connection.
 fn read_more(stream: &mut TcpStream, received: &mut ReceivedBytes) -> Option<usize> {
     let mut buffer = [0; 16 << 10];
-    loop {
-        match stream.read(&mut buffer) {
-            Ok(0) => return None,
-            Ok(count) => {
-                received.bytes.extend_from_slice(&buffer[..count]);
-                return Some(count);
-            }
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => {
-                received.is_reset = true;
-                return None;
-            }
-            Err(error) => panic!("the client's read failed: {error}"),
+    match read_some(stream, &mut buffer) {
+        Ok(0) => None,
+        Ok(count) => {
+            received.bytes.extend_from_slice(&buffer[..count]);
+            Some(count)
         }
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => {
+            received.is_reset = true;
+            None
+        }
+        Err(error) => panic!("the client's read failed: {error}"),
     }
 }
 
@@ -147,7 +144,7 @@
     let rest = &bytes[head.end..];
     let body = match head.length {
         Some(length) => rest.get(..length)?.to_vec(),
-        None if head.is_chunked => decode_chunks(rest).filter(|chunks| chunks.is_complete)?.body,
+        None if head.is_chunked => Some(decode_chunks(rest)).filter(|chunks| chunks.is_complete)?.body,
         None => return None,
     };
     Some(ReceivedAnswer { status: Some(head.status), body, end: End::Whole })
@@ -162,47 +159,16 @@
     let ends_with_connection = head.length.is_none() && !head.is_chunked;
     let is_whole = ends_with_connection && !received.is_reset;
     let rest = &received.bytes[head.end..];
-    let body =
-        if head.is_chunked { decode_chunks(rest).map_or_else(Vec::new, |c| c.body) } else { rest.to_vec() };
+    let body = if head.is_chunked { decode_chunks(rest).body } else { rest.to_vec() };
     let end = if is_whole { End::Whole } else { End::BrokenOff };
     ReceivedAnswer { status: Some(head.status), body, end }
 }
 
-struct DecodedChunks {
-    body: Vec<u8>,
-    is_complete: bool,
-}
-
-fn decode_chunks(mut bytes: &[u8]) -> Option<DecodedChunks> {
-    let mut decoded = DecodedChunks { body: Vec::new(), is_complete: false };
-    while let Some(line_end) = bytes.windows(2).position(|w| w == b"\r\n") {
-        let size = usize::from_str_radix(std::str::from_utf8(&bytes[..line_end]).ok()?, 16).ok()?;
-        let start = line_end + 2;
-        let Some(chunk) = bytes.get(start..start + size + 2) else { break };
-        decoded.body.extend_from_slice(&chunk[..size]);
-        decoded.is_complete = size == 0;
-        bytes = &bytes[start + size + 2..];
-        if decoded.is_complete {
-            break;
-        }
-    }
-    Some(decoded)
-}
-
 /// Writes the head of an answer of `length` bytes and the first part of its body at once.
 pub fn write_start(stream: &mut TcpStream, framing: Framing, length: usize, body: &[u8]) {
-    let mut bytes = match framing {
-        Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"),
-        Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
-        Framing::UntilClose => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".into(),
-    }
-    .into_bytes();
-    if framing == Framing::Chunked && !body.is_empty() {
-        bytes.extend_from_slice(format!("{:x}\r\n", body.len()).as_bytes());
-        bytes.extend_from_slice(body);
-        bytes.extend_from_slice(b"\r\n");
-    } else {
-        bytes.extend_from_slice(body);
+    let mut bytes = framing.head(length).into_bytes();
+    if !body.is_empty() {
+        bytes.extend_from_slice(&framing.framed(body));
     }
     let _ = stream.write_all(&bytes);
 }
--- a/tests/limiter/paced_answers.rs
+++ b/tests/limiter/paced_answers.rs
@@ -20,6 +20,26 @@
 
 pub const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
 
+impl Framing {
+    /// Returns the head of an answer of `length` bytes.
+    pub fn head(self, length: usize) -> String {
+        let framing = match self {
+            Framing::Length => format!("Content-Length: {length}\r\n"),
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n".into(),
+            Framing::UntilClose => "Connection: close\r\n".into(),
+        };
+        format!("HTTP/1.1 200 OK\r\n{framing}\r\n")
+    }
+
+    /// Returns a part of the body as it is written.
+    pub fn framed(self, part: &[u8]) -> Vec<u8> {
+        match self {
+            Framing::Chunked => [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat(),
+            Framing::Length | Framing::UntilClose => part.to_vec(),
+        }
+    }
+}
+
 /// Returns bytes that differ by position, so that missing or swapped parts are found.
 pub fn content(length: usize) -> Vec<u8> {
     (0..length).map(|n| (n % 251) as u8).collect()
@@ -44,22 +64,11 @@
     parts: usize,
     pause: Duration,
 ) -> Instant {
-    let head = match framing {
-        Framing::Length => format!("Content-Length: {length}\r\n"),
-        Framing::Chunked => "Transfer-Encoding: chunked\r\n".into(),
-        Framing::UntilClose => "Connection: close\r\n".into(),
-    };
-    let _ = write!(stream, "HTTP/1.1 200 OK\r\n{head}\r\n");
+    let _ = stream.write_all(framing.head(length).as_bytes());
     let started = Instant::now();
     let body = content(length);
     for part in body[..sent].chunks(length / parts) {
-        let _ = match framing {
-            Framing::Chunked => {
-                let framed = [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
-                stream.write_all(&framed)
-            }
-            Framing::Length | Framing::UntilClose => stream.write_all(part),
-        };
+        let _ = stream.write_all(&framing.framed(part));
         thread::sleep(pause);
     }
     if sent == length && framing == Framing::Chunked {
@@ -81,7 +90,7 @@
 }
 
 /// Reads once more if the call was interrupted: the system does not restart a read with a time limit.
-fn read_some(stream: &mut TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
+pub fn read_some(stream: &mut TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
     loop {
         match stream.read(buffer) {
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -117,20 +126,33 @@
         rest.extend_from_slice(&buffer[..count]);
         is_whole = is_complete(&rest);
     }
-    let body = if length.is_some() { rest } else { decode_chunks(&rest) };
+    let body = if length.is_some() { rest } else { decode_chunks(&rest).body };
     ReadAnswer { status, body, is_whole, first_byte_at: first_byte_at.unwrap_or_else(Instant::now) }
 }
 
-fn decode_chunks(mut bytes: &[u8]) -> Vec<u8> {
-    let mut body = Vec::new();
-    while let Some(end) = bytes.windows(2).position(|w| w == b"\r\n") {
-        let size = std::str::from_utf8(&bytes[..end]).ok().and_then(|s| usize::from_str_radix(s, 16).ok());
-        let Some(size @ 1..) = size else { break };
-        let Some(chunk) = bytes.get(end + 2..end + 2 + size) else { break };
-        body.extend_from_slice(chunk);
-        bytes = &bytes[(end + 4 + size).min(bytes.len())..];
+/// The body of an answer in chunks, as far as whole chunks came.
+pub struct DecodedChunks {
+    pub body: Vec<u8>,
+    /// Whether the last chunk came.
+    pub is_complete: bool,
+}
+
+pub fn decode_chunks(mut bytes: &[u8]) -> DecodedChunks {
+    let mut decoded = DecodedChunks { body: Vec::new(), is_complete: false };
+    while let Some(line_end) = bytes.windows(2).position(|w| w == b"\r\n") {
+        let size =
+            std::str::from_utf8(&bytes[..line_end]).ok().and_then(|s| usize::from_str_radix(s, 16).ok());
+        let Some(size) = size else { break };
+        let start = line_end + 2;
+        let Some(chunk) = bytes.get(start..start + size + 2) else { break };
+        if size == 0 {
+            decoded.is_complete = true;
+            break;
+        }
+        decoded.body.extend_from_slice(&chunk[..size]);
+        bytes = &bytes[start + size + 2..];
     }
-    body
+    decoded
 }
 
 /// Sends a request without a body and returns its connection.
